--- a/measure/src/configuration/hosts.rs
+++ b/measure/src/configuration/hosts.rs
@@ -33,7 +33,7 @@
         unit::{Rate, Span},
     },
     toucanhoist_fakes::platform::Faulty,
-    toucanhoist_platform::{ListedHost, ListedState, Platform as _, Transaction},
+    toucanhoist_store::{ListedHost, ListedState, Platform as _, Transaction},
 };
 
 use super::Found;
--- a/measure/src/submissions/restarts.rs
+++ b/measure/src/submissions/restarts.rs
@@ -27,7 +27,7 @@
         process::Signal,
         world::{Config, Place, World},
     },
-    toucanhoist_platform::Write,
+    toucanhoist_store::Write,
 };
 
 const KEY: &str = "key-of-the-technicians";
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -34,6 +34,7 @@
 fn execute(matches: &ArgMatches) -> Result<(), Failure> {
     match matches.subcommand() {
         Some(("serve", matches)) => process::serve(matches),
+        Some(("edge", matches)) => process::edge(matches),
         Some(("dev", matches)) => process::dev(matches),
         Some(("check", matches)) => documents::check(matches),
         Some(("schema", matches)) => documents::schema(matches),
@@ -60,6 +61,14 @@
                 .about("Runs an entry host")
                 .arg(required("settings", "FILE", "Settings of the process").long("settings")),
         )
+        .subcommand(
+            Command::new("edge").about("Runs an entry host on the users' platform").arg(
+                Arg::new("settings")
+                    .long("settings")
+                    .value_name("FILE")
+                    .help("Settings of the process; the platform names them otherwise"),
+            ),
+        )
         .subcommand(dev_command())
         .subcommand(
             Command::new("check")
--- a/src/cli/process.rs
+++ b/src/cli/process.rs
@@ -1,15 +1,21 @@
 //! Commands that run until they are told to stop.
 
-use std::{future::Future, path::Path, sync::Arc};
+use std::{
+    future::Future,
+    path::{Path, PathBuf},
+    sync::Arc,
+};
 
 use {
     clap::ArgMatches,
+    metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
     tokio::{
         runtime,
         signal::unix::{SignalKind, signal},
     },
     toucanhoist_core::event::Event,
-    toucanhoist_platform::Http,
+    toucanhoist_edge::{self as edge, host::Edge},
+    toucanhoist_store::Http,
 };
 
 use super::{
@@ -24,6 +30,9 @@
 };
 
 const FORCED_EXIT_CODE: i32 = 1;
+/// Upper bounds of the buckets of latencies, in seconds.
+const LATENCY_BUCKETS_S: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 5.0];
 
 pub(super) fn serve(matches: &ArgMatches) -> Result<(), Failure> {
     let file = argument(matches, "settings");
@@ -42,6 +51,48 @@
     })
 }
 
+/// Runs an entry host on the users' platform.
+pub(super) fn edge(matches: &ArgMatches) -> Result<(), Failure> {
+    let named = matches.get_one::<String>("settings").map(PathBuf::from);
+    let file = named.or_else(toucanhoist_platform::settings_file).ok_or_else(|| {
+        Failure::failed("no settings: neither --settings nor the platform's variable names a file")
+    })?;
+    let settings = edge::settings::Settings::read(&file).map_err(Failure::failed)?;
+    let metrics = recorder();
+    // One thread: the platform gives a process a part of one core.
+    let runtime =
+        runtime::Builder::new_current_thread().enable_all().build().map_err(Failure::failed)?;
+    runtime.block_on(async move {
+        let mut stop = signal(SignalKind::terminate()).map_err(Failure::failed)?;
+        let mut interrupt = signal(SignalKind::interrupt()).map_err(Failure::failed)?;
+        let mut reload = signal(SignalKind::hangup()).map_err(Failure::failed)?;
+        let store = Arc::new(toucanhoist_platform::Table::new(settings.store));
+        let dialect = toucanhoist_platform::dialect();
+        let mut host =
+            Edge::spawn(settings, dialect, store, metrics).await.map_err(Failure::failed)?;
+        host.set_file(file);
+        loop {
+            tokio::select! {
+                _ = stop.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = reload.recv() => host.reload(),
+            }
+        }
+        host.shutdown().await;
+        Ok(())
+    })
+}
+
+/// Installs the recorder of metrics; `None` if the process has one already.
+fn recorder() -> Option<PrometheusHandle> {
+    let recorder = PrometheusBuilder::new()
+        .set_buckets(&LATENCY_BUCKETS_S)
+        .unwrap_or_default()
+        .build_recorder();
+    let handle = recorder.handle();
+    metrics::set_global_recorder(recorder).is_ok().then_some(handle)
+}
+
 pub(super) fn dev(matches: &ArgMatches) -> Result<(), Failure> {
     let config = Config {
         hosts: matches.get_one("hosts").copied().unwrap_or(3),
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -20,7 +20,7 @@
         unit::{Bandwidth, Rate, Span},
     },
     toucanhoist_fakes::target,
-    toucanhoist_platform::{ListedHost, ListedState, Memory, Platform, Transaction, Write},
+    toucanhoist_store::{ListedHost, ListedState, Memory, Platform, Transaction, Write},
 };
 
 use crate::{
--- a/src/host.rs
+++ b/src/host.rs
@@ -26,7 +26,7 @@
         time::{self, Instant},
     },
     toucanhoist_core::{clock::Time, event::Event, membership::Incarnation},
-    toucanhoist_platform::Platform,
+    toucanhoist_store::Platform,
 };
 
 use crate::{journal::Journal, settings::Settings};
--- a/src/host/accounts/keys.rs
+++ b/src/host/accounts/keys.rs
@@ -6,7 +6,7 @@
     serde::{Deserialize, Serialize},
     tokio::time::{self, Instant},
     toucanhoist_core::{event::Event, id, key::Digest},
-    toucanhoist_platform::{Error, Transaction, Version, Write},
+    toucanhoist_store::{Error, Transaction, Version, Write},
 };
 
 use super::Handle;
--- a/src/host/accounts/ledger.rs
+++ b/src/host/accounts/ledger.rs
@@ -3,7 +3,7 @@
 use {
     tokio::time,
     toucanhoist_core::quota::{Account, Holder, Ledger, Plan},
-    toucanhoist_platform::{Check, Error, Expect, Platform, Transaction, Version, Write},
+    toucanhoist_store::{Check, Error, Expect, Platform, Transaction, Version, Write},
 };
 
 const TABLE: &str = "quota";
--- a/src/host/accounts/task.rs
+++ b/src/host/accounts/task.rs
@@ -21,7 +21,7 @@
         quota::{Action, Decision, Given, Holder, Ledger, Limit, Manager, Plan, Source, Verdict},
         refusal::{Code, Refusal},
     },
-    toucanhoist_platform::{Error, ErrorKind, Row, Version},
+    toucanhoist_store::{Error, ErrorKind, Row, Version},
 };
 
 use super::{Admission, Grant, Snapshot, Status, keys::KEYS, ledger, refused, stale, status};
--- a/src/host/fleet.rs
+++ b/src/host/fleet.rs
@@ -19,7 +19,7 @@
         id,
         membership::{self, View},
     },
-    toucanhoist_platform::{Error, Write},
+    toucanhoist_store::{Error, Write},
 };
 
 use super::{Addresses, Context, peers};
--- a/src/host/fleet/reader.rs
+++ b/src/host/fleet/reader.rs
@@ -10,7 +10,7 @@
         time::{self, Instant},
     },
     toucanhoist_core::{event::Event, id},
-    toucanhoist_platform::Error,
+    toucanhoist_store::Error,
 };
 
 use super::{Context, Input, table};
--- a/src/host/fleet/table.rs
+++ b/src/host/fleet/table.rs
@@ -10,7 +10,7 @@
         id,
         key::Digest,
     },
-    toucanhoist_platform::{Check, Error, Expect, Platform, Row, Transaction, Version, Write},
+    toucanhoist_store::{Check, Error, Expect, Platform, Row, Transaction, Version, Write},
 };
 
 use super::Context;
--- a/src/host/fleet/writer.rs
+++ b/src/host/fleet/writer.rs
@@ -13,7 +13,7 @@
         fleet::Fleet,
         id,
     },
-    toucanhoist_platform::{Error, ErrorKind, Expect},
+    toucanhoist_store::{Error, ErrorKind, Expect},
 };
 
 use super::{Handle, Input, table, unix_ms};
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -458,7 +458,7 @@
     Reply::with(StatusCode::UNPROCESSABLE_ENTITY, value)
 }
 
-fn not_accepted(error: &toucanhoist_platform::Error) -> Reply {
+fn not_accepted(error: &toucanhoist_store::Error) -> Reply {
     let accepted = if error.is_unknown() { Value::Null } else { Value::Bool(false) };
     Reply::with(
         StatusCode::SERVICE_UNAVAILABLE,
--- a/src/host/submissions/answers.rs
+++ b/src/host/submissions/answers.rs
@@ -13,7 +13,7 @@
         refusal::{Code, Refusal, Verdict},
         submission::{Content, Header, Kept},
     },
-    toucanhoist_platform::Platform,
+    toucanhoist_store::Platform,
 };
 
 use crate::host::exchange::{self, Answer, Body};
--- a/src/host/submissions/recorder.rs
+++ b/src/host/submissions/recorder.rs
@@ -14,7 +14,7 @@
             Record, Row, Step, Ticket, Watch, Write, Written,
         },
     },
-    toucanhoist_platform::{self as platform, Check, ErrorKind, Transaction},
+    toucanhoist_store::{self as platform, Check, ErrorKind, Transaction},
 };
 
 use super::{TABLE, day_time_s};
--- a/src/host/submissions/register.rs
+++ b/src/host/submissions/register.rs
@@ -7,7 +7,7 @@
         id,
         submission::{Expect, Record, State, Write, Written},
     },
-    toucanhoist_platform::{Error, Version},
+    toucanhoist_store::{Error, Version},
 };
 
 use super::{Handle, TABLE, day_time_s, recorder::present};
--- a/src/host/submissions/sweep.rs
+++ b/src/host/submissions/sweep.rs
@@ -12,7 +12,7 @@
         membership,
         submission::{Record, Row, Step, Watch, Write, Written},
     },
-    toucanhoist_platform::{Error, Version},
+    toucanhoist_store::{Error, Version},
 };
 
 use super::{TABLE, day_time_s, recorder, recorder::present};
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -11,7 +11,7 @@
     },
     toucanhoist_core::{key::Digest, unit::Span},
     toucanhoist_fakes::platform::Faulty,
-    toucanhoist_platform::{ListedHost, ListedState},
+    toucanhoist_store::{ListedHost, ListedState},
 };
 
 /// Returns settings on ports that the system chooses.
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -27,7 +27,7 @@
         platform::{Faults, Faulty, Server},
         process::{self, Config},
     },
-    toucanhoist_platform::{Platform, Transaction},
+    toucanhoist_store::{Platform, Transaction},
 };
 
 mod common;
--- a/tests/edge/support.rs
+++ b/tests/edge/support.rs
@@ -20,7 +20,7 @@
     },
     toucanhoist_core::{fleet::Fleet, key::Digest},
     toucanhoist_fakes::{process::send, target},
-    toucanhoist_platform::{ListedHost, ListedState, Memory, Platform, Transaction, Write},
+    toucanhoist_store::{ListedHost, ListedState, Memory, Platform, Transaction, Write},
 };
 
 pub const KEY: &str = "key-of-the-farmers-0123456789";
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -14,7 +14,7 @@
         process::{Config, Host, send},
         target,
     },
-    toucanhoist_platform::{Platform, Transaction, Write},
+    toucanhoist_store::{Platform, Transaction, Write},
 };
 
 const KEY: &str = "key-of-the-farmers";
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -14,7 +14,7 @@
         process::{Config, Host, send},
         target,
     },
-    toucanhoist_platform::{Platform, Transaction},
+    toucanhoist_store::{Platform, Transaction},
 };
 
 async fn get(host: &Host, path: &str) -> (StatusCode, Value) {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -15,7 +15,7 @@
         process::send,
         world::{Config, Place, World},
     },
-    toucanhoist_platform::Write,
+    toucanhoist_store::Write,
 };
 
 /// Key of the only account.
--- a/toucanhoist-core/src/event.rs
+++ b/toucanhoist-core/src/event.rs
@@ -59,6 +59,8 @@
     Started 1001 Info "started"
     /// The process begins a graceful shutdown.
     ShutdownBegun 1002 Info "shutdown-begun"
+    /// The settings were read again.
+    Reloaded 1005 Info "reloaded"
     /// The process ends.
     Stopped 1003 Info "stopped"
     /// A second signal cut a graceful shutdown short.
@@ -89,6 +91,12 @@
     Retried 2006 Warn "retried"
     /// An answer broke off.
     Broken 2007 Warn "broken"
+    /// A request was sent to a target.
+    Sent 2008 Info "sent"
+    /// A target's entry changed.
+    TargetChanged 2106 Info "target-changed"
+    /// The data centres under evacuation changed.
+    EvacuationsChanged 2107 Warn "evacuations-changed"
     /// A target is closed for a while.
     TargetClosed 2101 Warn "target-closed"
     /// A fingerprint is held back, as it crashed targets.
--- a/toucanhoist-core/src/lib.rs
+++ b/toucanhoist-core/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod refusal;
 pub mod retry;
 pub mod room;
+pub mod steering;
 pub mod submission;
 pub mod unit;
 
--- a/toucanhoist-core/src/room.rs
+++ b/toucanhoist-core/src/room.rs
@@ -29,7 +29,7 @@
 
 mod hint;
 mod queue;
-mod shift;
+pub(crate) mod shift;
 mod slots;
 
 pub use self::hint::{Claim, Digest, Echo, Hold, Load};
--- a/toucanhoist-core/src/room/shift.rs
+++ b/toucanhoist-core/src/room/shift.rs
@@ -9,7 +9,7 @@
 /// so that the sum over all hosts holds it too, without agreement. Requests that may cross are spread
 /// over the interval, so that also an interval of other bounds sees little more.
 #[derive(Debug)]
-pub(super) struct Shift {
+pub(crate) struct Shift {
     started: Time,
     arrived: u64,
     crossed: u64,
@@ -21,32 +21,32 @@
 const CROSS_BURST: f64 = 4.0;
 
 impl Shift {
-    pub(super) fn new(now: Time) -> Shift {
+    pub(crate) fn new(now: Time) -> Shift {
         Shift { started: now, arrived: 0, crossed: 0, share_before: 0.0, tokens: 0.0 }
     }
 
     /// Counts a request that a caller sent to this host.
-    pub(super) fn arrive(&mut self, now: Time, interval: Duration, cap: f64) {
+    pub(crate) fn arrive(&mut self, now: Time, interval: Duration, cap: f64) {
         self.roll(now, interval);
         self.arrived += 1;
         self.tokens = (self.tokens + self.share(cap)).min(CROSS_BURST);
     }
 
     /// Returns whether one more request may cross.
-    pub(super) fn may_cross(&mut self, now: Time, interval: Duration, cap: f64) -> bool {
+    pub(crate) fn may_cross(&mut self, now: Time, interval: Duration, cap: f64) -> bool {
         self.roll(now, interval);
         self.tokens >= 1.0 && self.within(self.crossed + 1, cap)
     }
 
     /// Counts a request that crosses; returns whether the cap holds.
-    pub(super) fn cross(&mut self, cap: f64) -> bool {
+    pub(crate) fn cross(&mut self, cap: f64) -> bool {
         self.crossed += 1;
         self.tokens -= 1.0;
         self.within(self.crossed, cap)
     }
 
     /// Returns requests that arrived and that crossed in the running interval.
-    pub(super) fn counts(&self) -> (u64, u64) {
+    pub(crate) fn counts(&self) -> (u64, u64) {
         (self.arrived, self.crossed)
     }
 
@@ -75,7 +75,7 @@
 
 /// A host's part of the capacity of its region's links, in bits.
 #[derive(Debug)]
-pub(super) struct Allowance {
+pub(crate) struct Allowance {
     bits: f64,
     filled: Time,
 }
@@ -83,18 +83,18 @@
 const ALLOWANCE_WINDOW: Duration = Duration::from_millis(100);
 
 impl Allowance {
-    pub(super) fn new(now: Time) -> Allowance {
+    pub(crate) fn new(now: Time) -> Allowance {
         Allowance { bits: 0.0, filled: now }
     }
 
     /// Returns whether `bits` of a part of `bits_per_s` are there.
-    pub(super) fn has(&self, now: Time, bits_per_s: f64, bits: f64) -> bool {
+    pub(crate) fn has(&self, now: Time, bits_per_s: f64, bits: f64) -> bool {
         let most = bits_per_s * ALLOWANCE_WINDOW.as_secs_f64();
         self.filled_bits(now, bits_per_s) >= bits.min(most)
     }
 
     /// Takes `bits` of a part of `bits_per_s`; returns whether they were there.
-    pub(super) fn take(&mut self, now: Time, bits_per_s: f64, bits: f64) -> bool {
+    pub(crate) fn take(&mut self, now: Time, bits_per_s: f64, bits: f64) -> bool {
         let there = self.has(now, bits_per_s, bits);
         self.bits = self.filled_bits(now, bits_per_s);
         self.filled = self.filled.max(now);
@@ -111,7 +111,7 @@
     }
 
     /// Charges bits that went over the link beyond what was taken.
-    pub(super) fn charge(&mut self, bits: f64) {
+    pub(crate) fn charge(&mut self, bits: f64) {
         self.bits -= bits;
     }
 }
--- /dev/null
+++ b/toucanhoist-core/src/steering.rs
@@ -0,0 +1,27 @@
+/*!
+Steering of requests straight to targets that register themselves.
+
+Every entry host knows every target and sends to it without a hop. What the hosts must agree on comes
+from a replicated [`registry`](Registry): the operators' configuration, data centres under evacuation,
+targets and entry hosts, each with the version that the store gave it, so that the newest wins on any
+path. A [`Desk`] decides for one host: which target runs a request, which request waits, and which is
+refused at once.
+*/
+
+mod budget;
+mod cold;
+mod config;
+mod desk;
+mod load;
+mod registry;
+mod work;
+
+pub use self::{
+    budget::{RetryBudget, Terms as RetryTerms},
+    cold::ColdLimit,
+    config::{AccountTerms, Config, Host, Limits, Part, Route, Routes, ServiceTerms},
+    desk::{Ask, Desk, Outcome, Placement, Refused, Settings, Ticket, Try},
+    load::{Load, Report},
+    registry::{Entry, EntryHost, Key, Registry, Snapshot, Target, TargetState, Topic, Value},
+    work::Work,
+};
--- /dev/null
+++ b/toucanhoist-core/src/steering/budget.rs
@@ -0,0 +1,72 @@
+//! Budget of repeated sends to the targets of a service.
+
+use std::{collections::VecDeque, time::Duration};
+
+use crate::clock::Time;
+
+/// Buckets that a window is counted in.
+const BUCKETS: u32 = 10;
+
+/// Part of the allowance that a host uses, since windows of other bounds see other sums.
+const USED_PART: f64 = 0.8;
+
+/// Terms of a [`RetryBudget`].
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// Repeats that are allowed for each request.
+    pub ratio: f64,
+    /// Repeats that are allowed beside, over all hosts.
+    pub extra: f64,
+    /// Window in which both are counted.
+    pub window: Duration,
+}
+
+/// Counts the requests for one service and what was sent again, at one host.
+///
+/// The extra allowance of the fleet is divided evenly among its hosts, so that the sum over all
+/// hosts holds without agreement.
+#[derive(Clone, Debug, Default)]
+pub struct RetryBudget {
+    buckets: VecDeque<Bucket>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Bucket {
+    number: u64,
+    requests: u32,
+    repeats: u32,
+}
+
+impl RetryBudget {
+    /// Counts a request of a caller.
+    pub fn request(&mut self, now: Time, terms: &Terms) {
+        self.bucket(now, terms).requests += 1;
+    }
+
+    /// Takes a repeat at one of `hosts` hosts; returns whether there was one.
+    pub fn take(&mut self, now: Time, terms: &Terms, hosts: usize) -> bool {
+        self.bucket(now, terms);
+        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
+        let repeats: u32 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
+        let hosts = f64::from(u32::try_from(hosts.max(1)).unwrap_or(u32::MAX));
+        let allowed = terms.ratio * f64::from(requests) + terms.extra / hosts;
+        let there = f64::from(repeats + 1) <= allowed * USED_PART;
+        if there {
+            self.bucket(now, terms).repeats += 1;
+        }
+        there
+    }
+
+    fn bucket(&mut self, now: Time, terms: &Terms) -> &mut Bucket {
+        let span = (terms.window / BUCKETS).as_micros().max(1);
+        let number = u64::try_from(u128::from(now.as_micros()) / span).unwrap_or(u64::MAX);
+        let oldest = number.saturating_sub(u64::from(BUCKETS));
+        while self.buckets.front().is_some_and(|bucket| bucket.number < oldest) {
+            self.buckets.pop_front();
+        }
+        if self.buckets.back().is_none_or(|bucket| bucket.number < number) {
+            self.buckets.push_back(Bucket { number, ..Bucket::default() });
+        }
+        self.buckets.back_mut().expect("a bucket was pushed")
+    }
+}
--- /dev/null
+++ b/toucanhoist-core/src/steering/cold.rs
@@ -0,0 +1,45 @@
+//! Limit on the requests that a cold target gets.
+
+use std::{collections::VecDeque, time::Duration};
+
+use crate::clock::Time;
+
+/// Time over which requests are counted; a little over a second, as requests arrive unevenly.
+const WINDOW: Duration = Duration::from_millis(1_150);
+
+/// Requests that one host sent to a target while it was cold.
+///
+/// The rate that the target tolerates is divided evenly among the hosts. Where that leaves less than
+/// one request a second, only some hosts send, chosen by rendezvous hashing.
+#[derive(Clone, Debug, Default)]
+pub struct ColdLimit {
+    sent: VecDeque<Time>,
+}
+
+impl ColdLimit {
+    /// Returns the requests a second of one host, where `rank` is its place among `hosts` hosts in
+    /// the target's order.
+    pub fn share(rate: f64, rank: usize, hosts: usize) -> usize {
+        #[allow(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a rate is small and not negative"
+        )]
+        let rate = rate.clamp(0.0, 1e6) as usize;
+        let hosts = hosts.max(1);
+        rate / hosts + usize::from(rank < rate % hosts)
+    }
+
+    /// Whether one more request may be sent, with `share` a second.
+    pub fn has_room(&mut self, now: Time, share: usize) -> bool {
+        while self.sent.front().is_some_and(|&at| now >= at + WINDOW) {
+            self.sent.pop_front();
+        }
+        self.sent.len() < share
+    }
+
+    /// Counts a request that is sent.
+    pub fn send(&mut self, now: Time) {
+        self.sent.push_back(now);
+    }
+}
--- /dev/null
+++ b/toucanhoist-core/src/steering/load.rs
@@ -0,0 +1,166 @@
+//! What a host knows of one target's load, speed and failures.
+
+use std::{collections::VecDeque, time::Duration};
+
+use crate::clock::Time;
+
+/// Time in which what other hosts have running there fades to 1/e.
+const REPORT_FADE_S: f64 = 0.8;
+/// Weight of a new report of other hosts' requests.
+const REPORT_WEIGHT: f64 = 0.6;
+/// Weight of a request's time in the target's slowness.
+const SLOWNESS_WEIGHT: f64 = 0.15;
+const SLOWNESS_MIN: f64 = 0.5;
+const SLOWNESS_MAX: f64 = 30.0;
+/// Time in which slowness and failures fade to 1/e, so that the target is tried again.
+const MEMORY_FADE_S: f64 = 4.0;
+/// Weight of a request's outcome in the part that fails.
+const FAILURE_WEIGHT: f64 = 0.25;
+/// Time for which an unreachable target is left alone; it doubles with each failure.
+const CLOSED_FIRST: Duration = Duration::from_millis(250);
+const CLOSED_MAX: Duration = Duration::from_secs(2);
+/// Objects that a target is taken to remember.
+const OBJECTS_MAX: usize = 24;
+
+/// What a target says of its load.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Report {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that may run at the same time.
+    pub slots: u32,
+}
+
+/// Load, speed and failures of one target as one host sees them.
+#[derive(Clone, Debug)]
+pub struct Load {
+    own: u32,
+    others: f64,
+    reported: Time,
+    slowness: f64,
+    failing: f64,
+    learned: Time,
+    closed_until: Time,
+    closed_for: Duration,
+    objects: VecDeque<u64>,
+}
+
+impl Default for Load {
+    fn default() -> Load {
+        Load {
+            own: 0,
+            others: 0.0,
+            reported: Time::ZERO,
+            slowness: 1.0,
+            failing: 0.0,
+            learned: Time::ZERO,
+            closed_until: Time::ZERO,
+            closed_for: CLOSED_FIRST,
+            objects: VecDeque::new(),
+        }
+    }
+}
+
+impl Load {
+    /// Returns the host's own requests there.
+    pub fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Returns the requests that the target is expected to hold, from all hosts.
+    pub fn busy(&self, now: Time) -> f64 {
+        let age = now.since(self.reported).as_secs_f64();
+        f64::from(self.own) + self.others * (-age / REPORT_FADE_S).exp()
+    }
+
+    /// Returns how many times longer than usual its requests take.
+    pub fn slowness(&self, now: Time) -> f64 {
+        1.0 + (self.slowness - 1.0) * self.fade(now)
+    }
+
+    /// Returns the part of its requests that fails.
+    pub fn failing(&self, now: Time) -> f64 {
+        self.failing * self.fade(now)
+    }
+
+    /// Whether it was found unreachable and is left alone.
+    pub fn is_closed(&self, now: Time) -> bool {
+        now < self.closed_until
+    }
+
+    /// Whether it was unreachable when it was last tried.
+    pub fn was_closed(&self) -> bool {
+        self.closed_until != Time::ZERO
+    }
+
+    /// Whether this host sent it a request for an object recently.
+    pub fn remembers(&self, object: u64) -> bool {
+        self.objects.contains(&object)
+    }
+
+    /// Counts a request that is sent.
+    pub fn send(&mut self, object: Option<u64>) {
+        self.own += 1;
+        let Some(object) = object else { return };
+        self.objects.retain(|known| *known != object);
+        if self.objects.len() == OBJECTS_MAX {
+            self.objects.pop_front();
+        }
+        self.objects.push_back(object);
+    }
+
+    /// Counts a request that has ended.
+    pub fn end(&mut self) {
+        self.own = self.own.saturating_sub(1);
+    }
+
+    /// Takes in what the target says of its load.
+    pub fn report(&mut self, now: Time, report: Report) {
+        let total = f64::from(report.running + report.waiting);
+        let others = (total - f64::from(self.own)).max(0.0);
+        let age = now.since(self.reported).as_secs_f64();
+        let faded = self.others * (-age / REPORT_FADE_S).exp();
+        self.others = faded + (others - faded) * REPORT_WEIGHT;
+        self.reported = now;
+    }
+
+    /// Learns a request's time, as a multiple of what was expected.
+    pub fn took(&mut self, now: Time, multiple: f64) {
+        let known = self.slowness(now);
+        let failing = self.failing(now);
+        let multiple = multiple.clamp(SLOWNESS_MIN, SLOWNESS_MAX);
+        self.slowness = known + (multiple - known) * SLOWNESS_WEIGHT;
+        (self.failing, self.learned) = (failing, now);
+    }
+
+    /// Learns whether a request failed there.
+    pub fn ended(&mut self, now: Time, failed: bool) {
+        let (slowness, failing) = (self.slowness(now), self.failing(now));
+        let outcome = if failed { 1.0 } else { 0.0 };
+        self.failing = failing + (outcome - failing) * FAILURE_WEIGHT;
+        (self.slowness, self.learned) = (slowness, now);
+        if !failed {
+            (self.closed_until, self.closed_for) = (Time::ZERO, CLOSED_FIRST);
+        }
+    }
+
+    /// Learns that the target cannot be reached.
+    pub fn close(&mut self, now: Time) {
+        if self.is_closed(now) {
+            return;
+        }
+        self.closed_until = now + self.closed_for;
+        self.closed_for = (self.closed_for * 2).min(CLOSED_MAX);
+    }
+
+    /// Forgets what belongs to an earlier incarnation; requests under way still count.
+    pub fn restart(&mut self) {
+        *self = Load { own: self.own, ..Load::default() };
+    }
+
+    fn fade(&self, now: Time) -> f64 {
+        (-now.since(self.learned).as_secs_f64() / MEMORY_FADE_S).exp()
+    }
+}
--- /dev/null
+++ b/toucanhoist-edge/src/fleet.rs
@@ -0,0 +1,476 @@
+/*!
+The task that owns the registry and the failure detector.
+
+It takes what the store says, what other hosts' snapshots say, and the detector's datagrams. It publishes
+the routes in force and the members, and tells the [`steer`](crate::steer) task of each change.
+
+Entries of targets that are removed right after an outage of the store may have lapsed only because the
+target could not renew them. Such removals wait for [`LAPSE_HOLD`]; an entry that is back by then stays.
+*/
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use {
+    tokio::{
+        sync::{mpsc, oneshot, watch},
+        time::{self, MissedTickBehavior},
+    },
+    toucanhoist_core::{
+        clock::Time,
+        event::Event,
+        id,
+        membership::{self, Detector, Incarnation, Member, Message, State, View},
+        steering::{Entry, Key, Registry, Routes, Snapshot, Topic, Value},
+    },
+    toucanhoist_wire::steering::packet,
+};
+
+use crate::{
+    clock::Clock,
+    journal::Journal,
+    peers,
+    settings::Settings,
+    steer,
+    store::{Batch, News},
+};
+
+const TICK: Duration = Duration::from_millis(100);
+/// Time for which removals after an outage wait; targets renew their entries within two seconds.
+pub const LAPSE_HOLD: Duration = Duration::from_millis(2_200);
+/// Outage of the store after which entries may have lapsed.
+const OUTAGE_MIN: Duration = Duration::from_millis(700);
+/// Time that the store has to bring a change before it is asked of another host.
+const PULL_DELAY: Duration = Duration::from_millis(400);
+/// Time between two questions for a snapshot.
+const PULL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Intervals of the failure detector: a host that is gone is known within about two seconds.
+fn detector_config() -> membership::Config {
+    membership::Config {
+        probe_interval: Duration::from_millis(500),
+        exchange_interval: Duration::from_millis(500),
+        ack_timeout: Duration::from_millis(250),
+        probe_timeout: Duration::from_millis(700),
+        suspicion: Duration::from_millis(1_500),
+        records_max: 48,
+        repair_interval: Duration::from_secs(1),
+        flap_hold: Duration::ZERO,
+        flap_hold_max: Duration::ZERO,
+        ..membership::Config::default()
+    }
+}
+
+/// A message to the task.
+#[derive(Debug)]
+pub enum Input {
+    /// A datagram of another host's detector.
+    Detector(Message),
+    /// What the store says.
+    Store(News),
+    /// Another host's snapshot.
+    Snapshot(SocketAddr, Snapshot),
+    /// Asks for a snapshot.
+    Ask(oneshot::Sender<Snapshot>),
+    /// Announces that the host is shutting down.
+    Leave,
+}
+
+/// Sends messages to the task and reads what it publishes.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    queue: mpsc::Sender<Input>,
+    routes: watch::Receiver<Option<Arc<Routes>>>,
+    view: watch::Receiver<Arc<View>>,
+}
+
+impl Handle {
+    /// Returns the routes in force; `None` until a configuration has arrived.
+    pub fn routes(&self) -> Option<Arc<Routes>> {
+        self.routes.borrow().clone()
+    }
+
+    /// Returns what tells of new routes.
+    pub fn watch_routes(&self) -> watch::Receiver<Option<Arc<Routes>>> {
+        self.routes.clone()
+    }
+
+    /// Returns the members.
+    pub fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view.borrow())
+    }
+
+    /// Returns a snapshot of the registry.
+    pub async fn snapshot(&self) -> Option<Snapshot> {
+        let (reply, snapshot) = oneshot::channel();
+        self.queue.send(Input::Ask(reply)).await.ok()?;
+        snapshot.await.ok()
+    }
+
+    /// Delivers a datagram; returns whether the task is there.
+    pub fn deliver(&self, message: Message) -> bool {
+        // A full queue loses the datagram, as the network may.
+        !matches!(
+            self.queue.try_send(Input::Detector(message)),
+            Err(mpsc::error::TrySendError::Closed(_))
+        )
+    }
+
+    /// Announces that the host is shutting down.
+    pub async fn leave(&self) {
+        // A task that has ended has nothing to announce.
+        let _ = self.queue.send(Input::Leave).await;
+    }
+
+    /// Takes in what the store says, until `news` ends.
+    pub async fn feed(self, mut news: mpsc::Receiver<News>) {
+        while let Some(news) = news.recv().await {
+            if self.queue.send(Input::Store(news)).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// What the task needs.
+#[derive(Debug)]
+pub struct Parts {
+    /// Settings of the host.
+    pub settings: Arc<Settings>,
+    /// Log.
+    pub journal: Arc<Journal>,
+    /// Clock.
+    pub clock: Clock,
+    /// Sends datagrams.
+    pub peers: peers::Sender,
+    /// Addresses of the host for callers and for other hosts.
+    pub callers: SocketAddr,
+    /// Number of the process.
+    pub incarnation: Incarnation,
+    /// The task that decides.
+    pub steer: steer::Handle,
+}
+
+/// Spawns the task.
+pub fn spawn(parts: Parts) -> Handle {
+    let (queue, inputs) = mpsc::channel(1_024);
+    let (routes, routes_read) = watch::channel(None);
+    let (view, view_read) = watch::channel(Arc::new(View::default()));
+    let me = Member {
+        name: parts.settings.name.clone(),
+        incarnation: parts.incarnation,
+        data_centre: parts.settings.data_centre.clone(),
+        callers: parts.callers.to_string().into(),
+        peers: parts.settings.listen.peers,
+        state: State::Live,
+    };
+    let mut detector = Detector::new(detector_config(), me, rand::random());
+    let own = parts.settings.listen.peers;
+    detector.suggest(parts.settings.seeds.iter().copied().filter(|seed| *seed != own));
+    let task = Task {
+        parts,
+        detector,
+        registry: Registry::default(),
+        newest: 0,
+        lost: BTreeMap::new(),
+        lapse_until: Time::ZERO,
+        held: Vec::new(),
+        ahead: None,
+        pulled: Time::ZERO,
+        stamp: membership::Stamp::default(),
+        queue: queue.clone(),
+        routes,
+        view,
+    };
+    tokio::spawn(task.run(inputs));
+    Handle { queue, routes: routes_read, view: view_read }
+}
+
+struct Task {
+    parts: Parts,
+    detector: Detector,
+    registry: Registry,
+    /// Highest version of any entry.
+    newest: u64,
+    /// Topics that the store does not answer for, with the time since then.
+    lost: BTreeMap<Topic, Time>,
+    lapse_until: Time,
+    held: Vec<(Key, Entry)>,
+    /// Another host that knows newer entries, with the time since then.
+    ahead: Option<(SocketAddr, Time)>,
+    pulled: Time,
+    stamp: membership::Stamp,
+    queue: mpsc::Sender<Input>,
+    routes: watch::Sender<Option<Arc<Routes>>>,
+    view: watch::Sender<Arc<View>>,
+}
+
+impl Task {
+    async fn run(mut self, mut inputs: mpsc::Receiver<Input>) {
+        let mut ticks = time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.tick(),
+                input = inputs.recv() => match input {
+                    Some(input) => self.take(input),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.parts.clock.now();
+        self.detector.set_revision(id::Revision::from(self.newest));
+        let sends = self.detector.tick(now);
+        self.send(sends);
+        self.publish_view(now);
+        if now >= self.lapse_until && !self.held.is_empty() {
+            let held = std::mem::take(&mut self.held);
+            let changed =
+                held.into_iter().filter_map(|(key, entry)| self.apply(key, entry)).collect();
+            self.publish(now, &changed);
+        }
+        self.pull(now);
+    }
+
+    fn take(&mut self, input: Input) {
+        let now = self.parts.clock.now();
+        match input {
+            Input::Detector(message) => {
+                self.compare(now, &message);
+                let sends = self.detector.receive(now, message);
+                self.send(sends);
+            }
+            Input::Store(news) => self.hear(now, news),
+            Input::Snapshot(from, snapshot) => self.merge(now, from, snapshot),
+            Input::Ask(reply) => {
+                // Who asked may have stopped waiting.
+                let _ = reply.send(self.registry.snapshot());
+            }
+            Input::Leave => {
+                let sends = self.detector.leave(now);
+                self.send(sends);
+                self.publish_view(now);
+            }
+        }
+    }
+
+    fn hear(&mut self, now: Time, news: News) {
+        let changed = match news {
+            News::All(topic, batch) => {
+                self.regain(now, topic);
+                self.replace(now, topic, batch)
+            }
+            News::Changed(topic, batch) => {
+                self.regain(now, topic);
+                let mut changed = BTreeSet::new();
+                for (key, entry) in batch.entries {
+                    if self.is_lapse(now, &key, &entry) {
+                        self.held.push((key, entry));
+                    } else {
+                        changed.extend(self.apply(key, entry));
+                    }
+                }
+                self.registry.reach(topic, batch.version);
+                changed
+            }
+            News::Lost(topic, error) => {
+                if let std::collections::btree_map::Entry::Vacant(lost) = self.lost.entry(topic) {
+                    lost.insert(now);
+                    let topic = topic.as_str();
+                    self.parts
+                        .journal
+                        .note(Event::PlatformDown, &[("topic", &topic), ("error", &error)]);
+                }
+                return;
+            }
+        };
+        self.publish(now, &changed);
+    }
+
+    /// Notes that the store answers for a topic again.
+    fn regain(&mut self, now: Time, topic: Topic) {
+        let Some(since) = self.lost.remove(&topic) else { return };
+        let away = now.since(since);
+        if topic == Topic::Targets && away >= OUTAGE_MIN {
+            self.lapse_until = now + LAPSE_HOLD;
+        }
+        let (topic, away_ms) = (topic.as_str(), away.as_millis());
+        self.parts.journal.note(Event::PlatformUp, &[("topic", &topic), ("away_ms", &away_ms)]);
+    }
+
+    /// Whether a removal may be that of a target which could not renew its entry.
+    fn is_lapse(&self, now: Time, key: &Key, entry: &Entry) -> bool {
+        now < self.lapse_until && key.topic() == Topic::Targets && entry.value.is_none()
+    }
+
+    fn replace(&mut self, now: Time, topic: Topic, batch: Batch) -> BTreeSet<Key> {
+        for (_, entry) in &batch.entries {
+            self.newest = self.newest.max(entry.version);
+        }
+        if topic != Topic::Targets || now >= self.lapse_until {
+            return self.registry.replace(topic, batch.version, batch.entries);
+        }
+        let present: BTreeSet<&Key> = batch.entries.iter().map(|(key, _)| key).collect();
+        let missing = self.registry.entries().filter(|(key, entry)| {
+            key.topic() == topic && entry.value.is_some() && !present.contains(key)
+        });
+        let gone: Vec<(Key, Entry)> = missing
+            .filter(|(_, entry)| entry.version <= batch.version)
+            .map(|(key, _)| (key.clone(), Entry { version: batch.version, value: None }))
+            .collect();
+        self.held.extend(gone);
+        let mut changed = BTreeSet::new();
+        for (key, entry) in batch.entries {
+            changed.extend(self.apply(key, entry));
+        }
+        self.registry.reach(topic, batch.version);
+        changed
+    }
+
+    fn apply(&mut self, key: Key, entry: Entry) -> Option<Key> {
+        self.newest = self.newest.max(entry.version);
+        self.registry.apply(key.clone(), entry).then_some(key)
+    }
+
+    /// Compares what a host knows with what this one knows.
+    fn compare(&mut self, now: Time, message: &Message) {
+        if message.revision.as_u64() <= self.newest {
+            return;
+        }
+        match &mut self.ahead {
+            Some((from, _)) => *from = message.from.peers,
+            None => self.ahead = Some((message.from.peers, now)),
+        }
+    }
+
+    /// Asks another host for its snapshot, if the store has not brought what it knows.
+    fn pull(&mut self, now: Time) {
+        let Some((from, since)) = self.ahead else { return };
+        let due = now >= since + PULL_DELAY && now >= self.pulled + PULL_INTERVAL;
+        if !due {
+            return;
+        }
+        (self.ahead, self.pulled) = (None, now);
+        let queue = self.queue.clone();
+        tokio::spawn(async move {
+            // A host that does not answer is asked again when it next says that it knows more.
+            if let Ok(snapshot) = peers::snapshot(from).await {
+                let _ = queue.send(Input::Snapshot(from, snapshot)).await;
+            }
+        });
+    }
+
+    fn merge(&mut self, now: Time, from: SocketAddr, snapshot: Snapshot) {
+        let first = self.routes.borrow().is_none();
+        let mut changed = BTreeSet::new();
+        for (key, entry) in snapshot.entries {
+            if self.is_lapse(now, &key, &entry) {
+                self.held.push((key, entry));
+            } else {
+                changed.extend(self.apply(key, entry));
+            }
+        }
+        if first && changed.contains(&Key::Config) {
+            self.parts.journal.note(Event::ConfigurationFromPeers, &[("from", &from)]);
+        }
+        self.publish(now, &changed);
+    }
+
+    /// Publishes what changed.
+    fn publish(&mut self, now: Time, changed: &BTreeSet<Key>) {
+        if changed.is_empty() {
+            return;
+        }
+        if changed.contains(&Key::Config) {
+            self.publish_config();
+        }
+        if changed.iter().any(|key| matches!(key, Key::Evacuation(_))) {
+            self.publish_evacuations();
+        }
+        if changed.iter().any(|key| matches!(key, Key::Host(_))) {
+            self.publish_hosts(now);
+        }
+        for key in changed {
+            let Key::Target(name) = key else { continue };
+            let target = match self.registry.value(key) {
+                Some(Value::Target(target)) => Some(target.clone()),
+                _ => None,
+            };
+            let (service, state, version) = match &target {
+                Some(target) => (target.service.as_str(), target.state.as_str(), target.born),
+                None => ("", "gone", 0),
+            };
+            self.parts.journal.note(
+                Event::TargetChanged,
+                &[("target", name), ("service", &service), ("state", &state), ("born", &version)],
+            );
+            self.parts.steer.tell(steer::Input::Target(name.clone(), target));
+        }
+    }
+
+    fn publish_config(&mut self) {
+        let Some(Value::Config(config)) = self.registry.value(&Key::Config) else { return };
+        let revision = config.revision;
+        self.parts.journal.note(Event::ConfigurationInForce, &[("revision", &revision)]);
+        let routes = Arc::new(Routes::new((**config).clone()));
+        self.parts.steer.tell(steer::Input::Config(Arc::clone(&routes)));
+        self.routes.send_replace(Some(routes));
+    }
+
+    fn publish_evacuations(&self) {
+        let mut evacuated = BTreeSet::new();
+        for (key, entry) in self.registry.entries() {
+            if let (Key::Evacuation(data_centre), Some(_)) = (key, &entry.value) {
+                evacuated.insert(data_centre.clone());
+            }
+        }
+        let names = evacuated.iter().map(id::DataCentre::as_str).collect::<Vec<_>>().join(",");
+        self.parts.journal.note(Event::EvacuationsChanged, &[("data_centres", &names)]);
+        self.parts.steer.tell(steer::Input::Evacuated(evacuated));
+    }
+
+    fn publish_hosts(&mut self, now: Time) {
+        let mut hosts = BTreeMap::new();
+        for (key, entry) in self.registry.entries() {
+            if let (Key::Host(name), Some(Value::Host(host))) = (key, &entry.value) {
+                hosts.insert(name.clone(), host.clone());
+            }
+        }
+        let own = &self.parts.settings.name;
+        let others = hosts.iter().filter(|(name, _)| *name != own).map(|(_, host)| host.peers);
+        self.detector.suggest(others);
+        self.parts.steer.tell(steer::Input::Hosts(hosts));
+        self.publish_view(now);
+    }
+
+    fn publish_view(&mut self, now: Time) {
+        for transition in self.detector.take_transitions() {
+            self.parts.journal.note(
+                Event::MemberChanged,
+                &[
+                    ("member", &transition.name),
+                    ("incarnation", &transition.incarnation),
+                    ("to", &transition.to),
+                ],
+            );
+        }
+        let stamp = self.detector.stamp(now);
+        if stamp != self.stamp {
+            self.stamp = stamp;
+            self.view.send_replace(Arc::new(self.detector.view(now)));
+        }
+    }
+
+    fn send(&self, sends: Vec<membership::Send>) {
+        for send in sends {
+            self.parts.peers.send(send.to, packet::Body::Membership(send.message.into()));
+        }
+    }
+}
--- /dev/null
+++ b/toucanhoist-edge/src/gateway/answer.rs
@@ -0,0 +1,167 @@
+//! Answers as callers see them: a target's, or a refusal (RFC 9457).
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use {
+    bytes::Bytes,
+    http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header},
+    http_body::{Frame, SizeHint},
+    hyper::body::Incoming,
+    serde::Serialize,
+    toucanhoist_core::refusal::{Code, Refusal},
+};
+
+use crate::{dialect::Dialect, steer::Lease, target};
+
+const MEDIA_TYPE: &str = "application/problem+json";
+
+/// Headers that concern one connection only.
+pub(super) const HOP_BY_HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Body of an answer.
+#[derive(Debug, Default)]
+pub(super) struct Body {
+    first: Option<Bytes>,
+    rest: Option<Incoming>,
+    /// The place at the target, until the rest has arrived.
+    _lease: Option<Lease>,
+}
+
+impl Body {
+    fn whole(content: Bytes) -> Body {
+        Body { first: Some(content), rest: None, _lease: None }
+    }
+}
+
+impl http_body::Body for Body {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        if let Some(first) = self.first.take().filter(|first| !first.is_empty()) {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        match &mut self.rest {
+            Some(rest) => Pin::new(rest).poll_frame(context),
+            None => Poll::Ready(None),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.as_ref().is_none_or(Bytes::is_empty) && self.rest.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let first = self.first.as_ref().map_or(0, Bytes::len) as u64;
+        match &self.rest {
+            Some(rest) => {
+                let mut hint = rest.size_hint();
+                hint.set_lower(hint.lower() + first);
+                if let Some(upper) = rest.size_hint().upper() {
+                    hint.set_upper(upper + first);
+                }
+                hint
+            }
+            None => SizeHint::with_exact(first),
+        }
+    }
+}
+
+/// Returns a target's answer, and whether it came whole.
+pub(super) fn of_target(
+    answer: target::Answer,
+    without_body: bool,
+    lease: Option<Lease>,
+) -> Response<Body> {
+    let target::Answer { head, first, rest, .. } = answer;
+    let mut response = Response::new(Body { first: Some(first), rest, _lease: lease });
+    *response.status_mut() = head.status;
+    *response.headers_mut() = head.headers;
+    let headers = response.headers_mut();
+    strip_hop_by_hop(headers);
+    if !without_body {
+        // The server states the length of the body that it sends.
+        headers.remove(header::CONTENT_LENGTH);
+    }
+    response
+}
+
+/// Removes the headers that concern one connection only, those named by `Connection` too.
+pub(super) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in HOP_BY_HOP.iter().chain(&named) {
+        headers.remove(name);
+    }
+}
+
+#[derive(Serialize)]
+struct Problem<'a> {
+    title: &'static str,
+    status: u16,
+    code: &'static str,
+    verdict: &'static str,
+    detail: &'a str,
+    request_id: &'a str,
+}
+
+/// Returns a refusal.
+pub(super) fn of_refusal(id: &str, refusal: &Refusal, dialect: &Dialect) -> Response<Body> {
+    let problem = Problem {
+        title: refusal.code.title(),
+        status: refusal.code.status(),
+        code: refusal.code.as_str(),
+        verdict: refusal.verdict.as_str(),
+        detail: &refusal.detail,
+        request_id: id,
+    };
+    // A problem is text and numbers only.
+    let content = serde_json::to_vec(&problem).unwrap_or_default();
+    let mut response = Response::new(Body::whole(content.into()));
+    *response.status_mut() =
+        StatusCode::from_u16(refusal.code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(MEDIA_TYPE));
+    if let Ok(id) = HeaderValue::from_str(id) {
+        headers.insert(dialect.request_id.clone(), id);
+    }
+    if refusal.code == Code::KeyRefused {
+        headers.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+    }
+    if let Some(after) = refusal.retry_after {
+        headers.insert(header::RETRY_AFTER, retry_after(after, dialect.fractional_retry_after));
+    }
+    response
+}
+
+fn retry_after(after: Duration, fractional: bool) -> HeaderValue {
+    let text = if fractional {
+        format!("{:.3}", after.as_secs_f64())
+    } else {
+        // Whole seconds, rounded up: a caller that comes back then is not early.
+        (after.as_secs() + u64::from(after.subsec_nanos() > 0)).max(1).to_string()
+    };
+    HeaderValue::try_from(text).unwrap_or(HeaderValue::from_static("1"))
+}
--- /dev/null
+++ b/toucanhoist-edge/src/steer.rs
@@ -0,0 +1,488 @@
+/*!
+The task that owns a host's decisions: tokens of client accounts, crash quarantine, placement.
+
+Requests ask through a [`Handle`] and get an answer, a [`Lease`] on a place at a target or a refusal. A
+lease that is dropped gives its place back.
+*/
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use {
+    tokio::{
+        sync::{mpsc, oneshot},
+        time::{self, Instant},
+    },
+    toucanhoist_core::{
+        clock::Time,
+        event::Event,
+        id,
+        quarantine::{Fingerprint, Quarantine},
+        quota::{Account, Decision, Holder, Size, Verdict},
+        steering::{
+            Ask, Desk, EntryHost, Outcome, Placement, Refused, RetryTerms, Routes, Settings,
+            Target, Ticket,
+        },
+    },
+    toucanhoist_wire::steering::{Suspicions, TokensAsk, TokensGiven, packet},
+};
+
+use crate::{clock::Clock, journal::Journal, peers, settings};
+
+/// Interval at which requests that wait are looked at, when nothing else happens.
+const WAITING_TICK: Duration = Duration::from_millis(10);
+/// Interval at which shares and suspicions are looked at while nothing waits.
+const IDLE_TICK: Duration = Duration::from_millis(100);
+/// Interval at which suspicions are told to other hosts.
+const SUSPICION_INTERVAL: Duration = Duration::from_millis(500);
+/// Suspicions in one datagram.
+const SUSPICIONS_MAX: usize = 64;
+/// Part of the shift cap that is used, as windows of other bounds see other sums.
+const SHIFT_USED_PART: f64 = 0.6;
+/// Interval in which the shift cap counts.
+const SHIFT_INTERVAL: Duration = Duration::from_secs(2);
+/// Part of the cold rate that is used, for requests that arrive closer together than they were sent.
+const COLD_USED_PART: f64 = 0.9;
+
+/// A message to the task.
+#[derive(Debug)]
+pub enum Input {
+    /// A configuration came into force.
+    Config(Arc<Routes>),
+    /// A target's entry changed.
+    Target(id::Target, Option<Target>),
+    /// Data centres under evacuation.
+    Evacuated(BTreeSet<id::DataCentre>),
+    /// Entry hosts that have registered.
+    Hosts(BTreeMap<id::EntryHost, EntryHost>),
+    /// A datagram of another host.
+    Packet(SocketAddr, packet::Body),
+    /// A request of an account asks for a token.
+    Admit(id::Account, oneshot::Sender<Result<(), Duration>>),
+    /// A request asks for a place.
+    Place(Box<Place>),
+    /// A request ended at its target.
+    End(Box<Ticket>, Outcome),
+    /// A request that waits was given up.
+    Cancel(u64),
+    /// A target ended while it ran a request.
+    Crashed(Fingerprint, id::Target),
+    /// A target answered a request.
+    Survived(Fingerprint),
+}
+
+/// A request that asks for a place.
+#[derive(Debug)]
+pub struct Place {
+    /// What the desk needs to know.
+    pub ask: Ask,
+    /// What stands for all requests of its content.
+    pub fingerprint: Fingerprint,
+    reply: oneshot::Sender<Placed>,
+}
+
+/// What becomes of a request.
+#[derive(Debug)]
+pub enum Placed {
+    /// It has a place at a target.
+    At(Lease),
+    /// It is refused and has not run.
+    Refused(Refused, Duration),
+    /// Requests like it crash targets; it is held back.
+    Held(Duration),
+}
+
+/// A place at a target, given back when it is dropped.
+#[derive(Debug)]
+pub struct Lease {
+    ticket: Option<Box<Ticket>>,
+    handle: Handle,
+}
+
+impl Lease {
+    /// Returns the place.
+    pub fn ticket(&self) -> &Ticket {
+        self.ticket.as_deref().expect("a lease has its ticket until it ends")
+    }
+
+    /// Gives the place back and says how the request ended.
+    pub fn end(mut self, outcome: Outcome) {
+        if let Some(ticket) = self.ticket.take() {
+            self.handle.tell(Input::End(ticket, outcome));
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            self.handle.tell(Input::End(ticket, Outcome::Abandoned));
+        }
+    }
+}
+
+/// Sends messages to the task.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    queue: mpsc::UnboundedSender<Input>,
+}
+
+impl Handle {
+    /// Creates a handle and the queue of the task.
+    pub fn new() -> (Handle, mpsc::UnboundedReceiver<Input>) {
+        let (queue, inputs) = mpsc::unbounded_channel();
+        (Handle { queue }, inputs)
+    }
+
+    /// Sends a message; the task ends only with the process.
+    pub fn tell(&self, input: Input) {
+        let _ = self.queue.send(input);
+    }
+
+    /// Takes a token of an account.
+    ///
+    /// # Errors
+    ///
+    /// Time after which the fleet has a token for the request.
+    pub async fn admit(&self, account: &id::Account) -> Result<(), Duration> {
+        let (reply, admitted) = oneshot::channel();
+        self.tell(Input::Admit(account.clone(), reply));
+        admitted.await.unwrap_or(Err(Duration::from_secs(1)))
+    }
+
+    /// Asks for a place at a target. Dropping the future takes the request back.
+    pub async fn place(&self, ask: Ask, fingerprint: Fingerprint) -> Placed {
+        let (reply, placed) = oneshot::channel();
+        let waiting = Waiting { number: ask.number, handle: self, open: true };
+        self.tell(Input::Place(Box::new(Place { ask, fingerprint, reply })));
+        let placed = placed.await;
+        waiting.close();
+        placed.unwrap_or(Placed::Refused(Refused::NoTarget, Duration::from_secs(1)))
+    }
+}
+
+/// Takes a request back that is no longer waited for.
+struct Waiting<'a> {
+    number: u64,
+    handle: &'a Handle,
+    open: bool,
+}
+
+impl Waiting<'_> {
+    fn close(mut self) {
+        self.open = false;
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if self.open {
+            self.handle.tell(Input::Cancel(self.number));
+        }
+    }
+}
+
+/// The task.
+pub struct Task {
+    clock: Clock,
+    journal: Arc<Journal>,
+    peers: peers::Sender,
+    handle: Handle,
+    host: id::EntryHost,
+    first_start: bool,
+    desk: Desk,
+    places: HashMap<u64, oneshot::Sender<Placed>>,
+    quarantine: Quarantine,
+    accounts: HashMap<id::Account, Account>,
+    hosts: BTreeMap<id::EntryHost, EntryHost>,
+    routes: Option<Arc<Routes>>,
+    admissions: HashMap<u64, oneshot::Sender<Result<(), Duration>>>,
+    next_admission: u64,
+    next_question: u64,
+    told: Time,
+}
+
+impl Task {
+    /// Creates the task of a host.
+    pub fn new(
+        settings: &settings::Settings,
+        clock: Clock,
+        journal: Arc<Journal>,
+        peers: peers::Sender,
+        handle: Handle,
+    ) -> Task {
+        let bounds = &settings.bounds;
+        let desk = Desk::new(Settings {
+            host: settings.name.clone(),
+            data_centre: settings.data_centre.clone(),
+            regions: settings.regions.clone(),
+            retries: RetryTerms {
+                ratio: bounds.retry_ratio,
+                extra: bounds.retry_extra,
+                window: bounds.retry_window_s,
+            },
+            shift_cap: bounds.shift_cap * SHIFT_USED_PART,
+            shift_interval: SHIFT_INTERVAL,
+            cold_factor: bounds.cold_factor * COLD_USED_PART,
+            cold_extra: bounds.cold_extra * COLD_USED_PART,
+        });
+        Task {
+            clock,
+            journal,
+            peers,
+            handle,
+            host: settings.name.clone(),
+            first_start: settings.first_start,
+            desk,
+            places: HashMap::new(),
+            quarantine: Quarantine::default(),
+            accounts: HashMap::new(),
+            hosts: BTreeMap::new(),
+            routes: None,
+            admissions: HashMap::new(),
+            next_admission: 0,
+            next_question: rand::random(),
+            told: Time::ZERO,
+        }
+    }
+
+    /// Runs until all handles are gone.
+    pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
+        let mut wake = Instant::now() + IDLE_TICK;
+        loop {
+            let input = tokio::select! {
+                input = inputs.recv() => match input {
+                    Some(input) => Some(input),
+                    None => return,
+                },
+                () = time::sleep_until(wake) => None,
+            };
+            let now = self.clock.now();
+            let ticked = input.is_none();
+            if let Some(input) = input {
+                self.take(now, input);
+            }
+            // What came meanwhile is taken together, before the shares are looked at.
+            while let Ok(input) = inputs.try_recv() {
+                self.take(now, input);
+            }
+            self.serve_waiting(now);
+            self.serve_accounts(now);
+            if ticked {
+                self.tell_suspicions(now);
+            }
+            let busy = self.desk.is_waiting() || !self.admissions.is_empty();
+            wake = Instant::now() + if busy { WAITING_TICK } else { IDLE_TICK };
+        }
+    }
+
+    fn take(&mut self, now: Time, input: Input) {
+        match input {
+            Input::Config(routes) => {
+                self.desk.set_config(now, routes.config());
+                self.routes = Some(routes);
+                self.set_shares(now);
+            }
+            Input::Target(name, target) => self.desk.set_target(now, &name, target.as_ref()),
+            Input::Evacuated(evacuated) => self.desk.set_evacuated(now, evacuated),
+            Input::Hosts(hosts) => {
+                self.desk.set_hosts(hosts.keys().cloned().collect());
+                self.hosts = hosts;
+                self.set_shares(now);
+            }
+            Input::Packet(from, body) => self.hear(now, from, body),
+            Input::Admit(account, reply) => self.admit(now, &account, reply),
+            Input::Place(place) => self.place(now, *place),
+            Input::End(ticket, outcome) => self.desk.end(now, &ticket, outcome),
+            Input::Cancel(number) => {
+                self.places.remove(&number);
+                self.desk.cancel(number);
+            }
+            Input::Crashed(fingerprint, target) => {
+                if self.quarantine.broke_off(now, fingerprint, &target) {
+                    self.note_held(fingerprint);
+                }
+                self.told = Time::ZERO;
+            }
+            Input::Survived(fingerprint) => self.quarantine.answered(fingerprint),
+        }
+    }
+
+    fn place(&mut self, now: Time, place: Place) {
+        let Place { ask, fingerprint, reply } = place;
+        if let Some(left) = self.quarantine.held(now, fingerprint) {
+            // Who asked may have gone.
+            let _ = reply.send(Placed::Held(left));
+            return;
+        }
+        self.places.insert(ask.number, reply);
+        let decided = self.desk.ask(now, ask);
+        self.decided(decided);
+    }
+
+    fn serve_waiting(&mut self, now: Time) {
+        if self.desk.is_waiting() {
+            let decided = self.desk.poll(now);
+            self.decided(decided);
+        }
+    }
+
+    fn decided(&mut self, decided: Vec<(u64, Placement)>) {
+        for (number, placement) in decided {
+            let placed = match placement {
+                Placement::Send(ticket) => {
+                    let ticket = Some(Box::new(ticket));
+                    Placed::At(Lease { ticket, handle: self.handle.clone() })
+                }
+                Placement::Refuse { reason, retry_after } => Placed::Refused(reason, retry_after),
+            };
+            if let Some(reply) = self.places.remove(&number) {
+                // A lease that nobody takes gives its place back.
+                let _ = reply.send(placed);
+            }
+        }
+    }
+
+    fn admit(
+        &mut self,
+        now: Time,
+        name: &id::Account,
+        reply: oneshot::Sender<Result<(), Duration>>,
+    ) {
+        self.next_admission += 1;
+        let ticket = self.next_admission;
+        let others = self.hosts.len() > 1;
+        let decision = match self.accounts.get_mut(name) {
+            Some(account) => account.offer(now, true, others, ticket),
+            None => Decision::Admit,
+        };
+        // Who asked may have gone; the token is spent all the same.
+        let _ = match decision {
+            Decision::Admit => reply.send(Ok(())),
+            Decision::Refuse(after) => reply.send(Err(after)),
+            Decision::Wait => {
+                self.admissions.insert(ticket, reply);
+                Ok(())
+            }
+        };
+    }
+
+    fn serve_accounts(&mut self, now: Time) {
+        let mut verdicts = Vec::new();
+        let mut asks = Vec::new();
+        for (name, account) in &mut self.accounts {
+            verdicts.extend(account.settle(now, true));
+            for (question, holder, tokens) in account.ask(now, &mut self.next_question) {
+                asks.push((name.clone(), question, holder, tokens));
+            }
+        }
+        self.settle(verdicts);
+        for (account, question, holder, tokens) in asks {
+            let Some(host) = self.hosts.get(&holder.host) else { continue };
+            let account = account.to_string();
+            let ask = TokensAsk { question, account, tokens };
+            self.peers.send(host.peers, packet::Body::TokensAsk(ask));
+        }
+    }
+
+    fn settle(&mut self, verdicts: Vec<Verdict>) {
+        for verdict in verdicts {
+            if let Some(reply) = self.admissions.remove(&verdict.ticket) {
+                // Who asked may have gone; the token is spent all the same.
+                let _ = reply.send(verdict.refused.map_or(Ok(()), Err));
+            }
+        }
+    }
+
+    /// Divides rates and bursts evenly among the hosts that have registered.
+    ///
+    /// A host keeps its share while it cannot be reached, since it goes on serving. So the shares of
+    /// all hosts never exceed what an account was agreed.
+    fn set_shares(&mut self, now: Time) {
+        let Some(routes) = &self.routes else { return };
+        let registered = self.hosts.contains_key(&self.host);
+        let count = self.hosts.len() + usize::from(!registered);
+        let part = 1.0 / f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+        let holder = |(host, entry): (&id::EntryHost, &EntryHost)| {
+            (host != &self.host).then(|| Holder { host: host.clone(), epoch: entry.epoch })
+        };
+        let others: Vec<Holder> = self.hosts.iter().filter_map(holder).collect();
+        let mut known = std::mem::take(&mut self.accounts);
+        for terms in routes.config().accounts.iter().filter(|terms| terms.rate > 0.0) {
+            let is_new = !known.contains_key(&terms.name);
+            let mut account = known.remove(&terms.name).unwrap_or_else(|| Account::new(now));
+            let size = Size { rate: terms.rate * part, burst: terms.burst * part };
+            account.set_rate(terms.rate);
+            account.bucket().resize(now, size.rate, size.burst.max(1.0));
+            if is_new && self.first_start {
+                account.bucket().put(now, size.burst);
+            }
+            account.set_others(others.iter().map(|other| (other.clone(), size)).collect());
+            self.accounts.insert(terms.name.clone(), account);
+        }
+        // Requests of an account that has gone, or has no limit any more, wait for nothing.
+        for account in known.into_values().filter(Account::is_waiting) {
+            self.drop_waiting(account);
+        }
+        self.first_start = false;
+    }
+
+    fn drop_waiting(&mut self, mut account: Account) {
+        let later = self.clock.now() + Duration::from_secs(1);
+        let verdicts = account.settle(later, false);
+        self.settle(verdicts);
+    }
+
+    fn hear(&mut self, now: Time, from: SocketAddr, body: packet::Body) {
+        match body {
+            packet::Body::TokensAsk(ask) => {
+                let Ok(name) = ask.account.parse::<id::Account>() else { return };
+                let Some(account) = self.accounts.get_mut(&name) else { return };
+                let (tokens, left) = account.give(now, ask.tokens);
+                let TokensAsk { question, account, .. } = ask;
+                let given = TokensGiven { question, account, tokens, left };
+                self.peers.send(from, packet::Body::TokensGiven(given));
+            }
+            packet::Body::TokensGiven(given) => {
+                let Ok(name) = given.account.parse::<id::Account>() else { return };
+                let Some(account) = self.accounts.get_mut(&name) else { return };
+                let verdicts = account.accept(now, given.question, given.tokens, given.left);
+                self.settle(verdicts);
+            }
+            packet::Body::Suspicions(suspicions) => {
+                let words = suspicions.suspicions.into_iter();
+                let words = words.filter_map(|word| word.try_into().ok()).collect();
+                for fingerprint in self.quarantine.hear(now, words) {
+                    self.note_held(fingerprint);
+                }
+            }
+            packet::Body::Membership(_) => {}
+        }
+    }
+
+    fn note_held(&self, fingerprint: Fingerprint) {
+        self.journal.note(Event::Quarantined, &[("fingerprint", &fingerprint)]);
+    }
+
+    fn tell_suspicions(&mut self, now: Time) {
+        if self.told != Time::ZERO && now < self.told + SUSPICION_INTERVAL {
+            return;
+        }
+        self.told = now;
+        let words = self.quarantine.words(now);
+        if words.is_empty() {
+            return;
+        }
+        let suspicions = words.iter().take(SUSPICIONS_MAX).map(Into::into).collect();
+        let packet = packet::Body::Suspicions(Suspicions { suspicions });
+        for (name, host) in &self.hosts {
+            if *name != self.host {
+                self.peers.send(host.peers, packet.clone());
+            }
+        }
+    }
+}
--- a/toucanhoist-fakes/src/lib.rs
+++ b/toucanhoist-fakes/src/lib.rs
@@ -1,7 +1,7 @@
 /*!
 Stand-ins for the platform and for targets, for tests and development.
 
-A [`platform::Server`] serves a [`Memory`](toucanhoist_platform::Memory) over HTTP and can be told
+A [`platform::Server`] serves a [`Memory`](toucanhoist_store::Memory) over HTTP and can be told
 to be slow, to be down and to lose answers. A [`target::Server`] answers with what reached it.
 */
 
--- a/toucanhoist-fakes/src/platform.rs
+++ b/toucanhoist-fakes/src/platform.rs
@@ -13,7 +13,7 @@
     http_body_util::{BodyExt, Full},
     hyper::{Method, Request, Response, StatusCode, body::Incoming},
     serde::Serialize,
-    toucanhoist_platform::{
+    toucanhoist_store::{
         Error, ErrorKind, ListedHost, Memory, Platform, Row, Transaction, Version,
     },
 };
--- a/toucanhoist-fakes/src/process.rs
+++ b/toucanhoist-fakes/src/process.rs
@@ -24,7 +24,7 @@
         sync::mpsc,
         time,
     },
-    toucanhoist_platform::{ListedHost, ListedState},
+    toucanhoist_store::{ListedHost, ListedState},
 };
 
 pub use nix::sys::signal::Signal;
--- a/toucanhoist-fakes/src/world.rs
+++ b/toucanhoist-fakes/src/world.rs
@@ -7,7 +7,7 @@
     sync::Arc,
 };
 
-use toucanhoist_platform::{Platform, Transaction, Write};
+use toucanhoist_store::{Platform, Transaction, Write};
 
 use crate::{
     platform::{self, Faulty},
--- a/toucanhoist-fakes/tests/platform.rs
+++ b/toucanhoist-fakes/tests/platform.rs
@@ -4,7 +4,7 @@
 
 use {
     toucanhoist_fakes::platform::{Faults, Faulty, Server},
-    toucanhoist_platform::{Check, ErrorKind, Expect, Http, Platform, Transaction, Write},
+    toucanhoist_store::{Check, ErrorKind, Expect, Http, Platform, Transaction, Write},
 };
 
 const TIMEOUT: Duration = Duration::from_millis(300);
--- a/toucanhoist-platform/src/http.rs
+++ b/toucanhoist-store/src/channel.rs
@@ -1,44 +1,65 @@
+//! Calls to a service over HTTP, on connections that are kept.
+
 use std::{net::SocketAddr, time::Duration};
 
 use {
-    async_trait::async_trait,
     bytes::Bytes,
     http_body_util::{BodyExt, Full},
     hyper::{Method, Request, StatusCode, client::conn::http1, header},
     hyper_util::rt::TokioIo,
-    serde::de::DeserializeOwned,
     tokio::{
-        net::TcpStream,
         sync::Mutex,
         time::{self, Instant},
     },
 };
 
-use crate::{Error, ErrorKind, ListedHost, Platform, Row, Transaction, Version};
+use crate::{Error, ErrorKind, socket};
+
+/// Idle connections that are kept.
+const IDLE_MAX: usize = 8;
+/// Time in which a connection must be made.
+const CONNECT_MAX: Duration = Duration::from_millis(1_000);
 
-/// A platform that is reached over HTTP.
+type Call = Request<Full<Bytes>>;
+type Connection = http1::SendRequest<Full<Bytes>>;
+
+/// Calls a service at one address.
 #[derive(Debug)]
-pub struct Http {
+pub struct Channel {
     address: SocketAddr,
-    timeout: Duration,
     idle: Mutex<Vec<Connection>>,
 }
 
-const IDLE_MAX: usize = 8;
-
-type Call = Request<Full<Bytes>>;
-type Connection = http1::SendRequest<Full<Bytes>>;
+/// What a service answered.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Whole body.
+    pub content: Bytes,
+}
 
-impl Http {
-    /// Creates a client that gives up on a call after `timeout`.
-    pub fn new(address: SocketAddr, timeout: Duration) -> Http {
-        Http { address, timeout, idle: Mutex::new(Vec::new()) }
+impl Channel {
+    /// Creates a channel; connections are made when they are needed.
+    pub fn new(address: SocketAddr) -> Channel {
+        Channel { address, idle: Mutex::new(Vec::new()) }
     }
 
-    async fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Answer, Error> {
-        let deadline = Instant::now() + self.timeout;
+    /// Makes a call and gives up on it after `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// The service cannot be reached, or the outcome of the call is unknown.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Answer, Error> {
+        let deadline = Instant::now() + timeout;
         let mut request = self.request(method, path, body)?;
-        // An idle connection that the platform has closed gives the request back unsent.
+        // An idle connection that the service has closed gives the request back unsent.
         while let Some(idle) = self.take_idle().await {
             match self.exchange(idle, request, deadline).await {
                 Ok(answer) => return answer,
@@ -102,13 +123,12 @@
     }
 
     async fn connect(&self) -> Result<Connection, Error> {
-        let stream = TcpStream::connect(self.address).await.map_err(unavailable)?;
-        stream.set_nodelay(true).map_err(unavailable)?;
+        let stream = socket::connect(self.address, CONNECT_MAX).await.map_err(unavailable)?;
         let (sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(unavailable)?;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
-                log::debug!("platform connection ended: {error}");
+                log::debug!("connection to a service ended: {error}");
             }
         });
         Ok(sender)
@@ -124,65 +144,10 @@
     }
 }
 
-struct Answer {
-    status: StatusCode,
-    content: Bytes,
-}
-
-impl Answer {
-    fn json<T: DeserializeOwned>(self) -> Result<T, Error> {
-        let content = self.success()?;
-        serde_json::from_slice(&content).map_err(unknown)
-    }
-
-    fn success(self) -> Result<Bytes, Error> {
-        match self.status {
-            status if status.is_success() => Ok(self.content),
-            StatusCode::CONFLICT => Err(Error::new(ErrorKind::Conflict)),
-            status => Err(unavailable(status)),
-        }
-    }
-}
-
-fn unavailable(why: impl std::fmt::Display) -> Error {
+pub(crate) fn unavailable(why: impl std::fmt::Display) -> Error {
     Error::new(ErrorKind::Unavailable(why.to_string().into()))
 }
 
-fn unknown(why: impl std::fmt::Display) -> Error {
+pub(crate) fn unknown(why: impl std::fmt::Display) -> Error {
     Error::new(ErrorKind::Unknown(why.to_string().into()))
 }
-
-#[async_trait]
-impl Platform for Http {
-    async fn transact(&self, transaction: Transaction) -> Result<Version, Error> {
-        let body = serde_json::to_vec(&transaction).map_err(unavailable)?;
-        self.call(Method::POST, "/transactions", body.into()).await?.json()
-    }
-
-    async fn read(&self, table: &str, keys: &[Box<str>]) -> Result<Vec<Option<Row>>, Error> {
-        let body = serde_json::to_vec(keys).map_err(unavailable)?;
-        self.call(Method::POST, &format!("/tables/{table}/read"), body.into()).await?.json()
-    }
-
-    async fn scan(&self, table: &str, after: Version, limit: usize) -> Result<Vec<Row>, Error> {
-        let path = format!("/tables/{table}/changes?after={after}&limit={limit}");
-        self.call(Method::GET, &path, Bytes::new()).await?.json()
-    }
-
-    async fn put_object(&self, name: &str, content: Bytes) -> Result<(), Error> {
-        self.call(Method::PUT, &format!("/objects/{name}"), content).await?.success()?;
-        Ok(())
-    }
-
-    async fn get_object(&self, name: &str) -> Result<Option<Bytes>, Error> {
-        let answer = self.call(Method::GET, &format!("/objects/{name}"), Bytes::new()).await?;
-        match answer.status {
-            StatusCode::NOT_FOUND => Ok(None),
-            _ => answer.success().map(Some),
-        }
-    }
-
-    async fn hosts(&self) -> Result<Vec<ListedHost>, Error> {
-        self.call(Method::GET, "/hosts", Bytes::new()).await?.json()
-    }
-}
--- a/toucanhoist-platform/src/lib.rs
+++ b/toucanhoist-store/src/lib.rs
@@ -2,14 +2,15 @@
 Client of the platform: its transactional table service, its object store and its list of hosts.
 
 [`Platform`] is the edge of a process. [`Memory`] keeps everything in the process, for development
-and tests; [`Http`] speaks to the platform's service (docs/PLATFORM.md gives the API).
+and tests; [`Http`] speaks to the platform's service (docs/PLATFORM.md gives the API). [`Channel`] makes
+the calls, also for services with other protocols.
 
 # Examples
 
 A conditional write succeeds once:
 
 ```
-use toucanhoist_platform::{Check, Expect, Memory, Platform, Transaction, Write};
+use toucanhoist_store::{Check, Expect, Memory, Platform, Transaction, Write};
 
 # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
 let platform = Memory::new();
@@ -24,12 +25,15 @@
 */
 
 mod api;
+mod channel;
 mod error;
 mod http;
 mod memory;
+pub mod socket;
 
 pub use crate::{
     api::{Check, Expect, ListedHost, ListedState, Platform, Row, Transaction, Version, Write},
+    channel::{Answer, Channel},
     error::{Error, ErrorKind},
     http::Http,
     memory::Memory,
--- a/toucanhoist-wire/generate/src/main.rs
+++ b/toucanhoist-wire/generate/src/main.rs
@@ -10,7 +10,8 @@
     process::ExitCode,
 };
 
-const PROTOCOLS: [&str; 5] = ["configuration", "forward", "membership", "quota", "room"];
+const PROTOCOLS: [&str; 6] =
+    ["configuration", "forward", "membership", "quota", "room", "steering"];
 
 fn main() -> Result<ExitCode, Box<dyn Error>> {
     let check = std::env::args().any(|arg| arg == "--check");
--- a/toucanhoist-wire/src/lib.rs
+++ b/toucanhoist-wire/src/lib.rs
@@ -41,3 +41,9 @@
     #![allow(missing_docs, clippy::all, clippy::pedantic)]
     include!("generated/toucanhoist.room.rs");
 }
+
+/// Datagrams between entry hosts that send straight to targets.
+pub mod steering {
+    #![allow(missing_docs, clippy::all, clippy::pedantic)]
+    include!("generated/toucanhoist.steering.rs");
+}
