Let requests wait for the target that knows their object

Ruled out: less overbooking alone (the same targets stay full); refusing earlier alone (the slow runs stay).

Change: a full target stays a candidate while waiting for it costs less than the slower run elsewhere and the request's patience allows it; waiting requests count at their target; a request is refused only when no target with room is left. Times teach only when it is certain whether the target knew the object. Ties are decided by the order that all hosts share. The desk is split into desk, choice, known and ask.

--- a/toucanhoist-core/src/steering.rs
+++ b/toucanhoist-core/src/steering.rs
@@ -8,6 +8,7 @@
 refused at once.
 */
 
+mod ask;
 mod budget;
 mod cold;
 mod config;
@@ -17,10 +18,11 @@
 mod work;
 
 pub use self::{
+    ask::{Ask, Outcome, Placement, Refused, Ticket, Try},
     budget::{RetryBudget, Terms as RetryTerms},
     cold::ColdLimit,
     config::{AccountTerms, Config, Host, Limits, Part, Route, Routes, ServiceTerms},
-    desk::{Ask, Desk, Outcome, Placement, Refused, Settings, Ticket, Try},
+    desk::{Desk, Settings},
     load::{Load, Report},
     registry::{Entry, EntryHost, Key, Registry, Snapshot, Target, TargetState, Topic, Value},
     work::Work,
--- /dev/null
+++ b/toucanhoist-core/src/steering/ask.rs
@@ -0,0 +1,131 @@
+//! What requests ask of a [`Desk`](super::Desk), and what becomes of them.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use super::{Report, Route};
+use crate::{clock::Time, id};
+
+/// A request that asks for a target.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Number of the request at this host.
+    pub number: u64,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Its service.
+    pub service: id::Service,
+    /// Object that it is about, on routes with affinity.
+    pub object: Option<u64>,
+    /// Priority, 0 the highest.
+    pub priority: u8,
+    /// Time at which it arrived.
+    pub arrived: Time,
+    /// Time after which an answer is of no use.
+    pub deadline: Time,
+    /// Regions that may serve it; empty for all.
+    pub homes: Vec<id::Region>,
+    /// Targets that it was sent to before.
+    pub tried: Vec<id::Target>,
+    /// Whether it asks for the first time.
+    pub attempt: Try,
+}
+
+/// Whether a request asks for the first time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Try {
+    /// It asks for the first time.
+    First,
+    /// Nothing of it was sent so far.
+    Unsent,
+    /// A target has seen it; the budget of repeats counts it.
+    Repeat,
+}
+
+/// A request's place at a target.
+#[derive(Clone, Debug)]
+pub struct Ticket {
+    /// Number of the request.
+    pub number: u64,
+    /// Target.
+    pub target: id::Target,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its service.
+    pub service: id::Service,
+    /// Its route's name.
+    pub route: Box<str>,
+    /// Object of the request.
+    pub object: Option<u64>,
+    /// Whether the target is taken to have handled the object recently.
+    pub recent: bool,
+    /// Time that the request is expected to take there, in seconds.
+    pub expected_s: f64,
+    /// Requests that the target held, as far as this host knew.
+    pub busy: f64,
+    /// Whether the request's time says something: the target had a free slot, and it is certain
+    /// whether it handled the object recently.
+    pub teaches: bool,
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refused {
+    /// No target of the service may serve it.
+    NoTarget,
+    /// All targets are full, and it would wait too long.
+    NoRoom,
+    /// Too much is sent again.
+    NoBudget,
+}
+
+impl Refused {
+    /// Returns the reason's name.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Refused::NoTarget => "no-target",
+            Refused::NoRoom => "no-room",
+            Refused::NoBudget => "no-budget",
+        }
+    }
+}
+
+/// What becomes of a request.
+#[derive(Clone, Debug)]
+pub enum Placement {
+    /// It is sent.
+    Send(Ticket),
+    /// It is refused and has not run.
+    Refuse {
+        /// Why.
+        reason: Refused,
+        /// Time after which it may come back.
+        retry_after: Duration,
+    },
+}
+
+/// How a request ended at its target.
+#[derive(Clone, Copy, Debug)]
+pub enum Outcome {
+    /// The target answered.
+    Answered {
+        /// Time from sending to the answer.
+        took: Duration,
+        /// Load that the target reports.
+        report: Option<Report>,
+        /// Whether the answer is a failure.
+        failed: bool,
+    },
+    /// The target did not run it.
+    Shed {
+        /// Load that the target reports.
+        report: Option<Report>,
+    },
+    /// Another target has the address.
+    Misdirected,
+    /// The target could not be reached; nothing was sent.
+    Unreachable,
+    /// The connection ended without a whole answer.
+    Broken,
+    /// No answer was waited for any longer.
+    Abandoned,
+}
--- a/toucanhoist-core/src/steering/desk.rs
+++ b/toucanhoist-core/src/steering/desk.rs
@@ -2,31 +2,27 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
-    net::SocketAddr,
-    sync::Arc,
     time::Duration,
 };
 
 use twox_hash::XxHash64;
 
 use super::{
-    ColdLimit, Config, Load, Report, RetryBudget, Route, ServiceTerms, Target, TargetState, Work,
-    budget,
+    Ask, ColdLimit, Config, Load, Outcome, Placement, Refused, RetryBudget, ServiceTerms, Target,
+    Ticket, Try, Work, budget,
 };
 use crate::{clock::Time, id, membership::score, room::shift::Shift};
 
+mod choice;
+mod known;
+
+use self::{
+    choice::{Candidate, Choice, View},
+    known::Known,
+};
+
 /// Requests that wait for one service at one host; more than that cannot be served in time.
 const WAITING_MAX: usize = 64;
-/// Part of its slots by which a target may be overbooked, so that it never idles for a round trip.
-const OVERBOOKED_PART: f64 = 0.25;
-/// Seconds that a request to another region counts longer: two crossings, and dear bytes.
-const REGION_COST_S: f64 = 0.12;
-/// Seconds that a request to another data centre of the region counts longer.
-const DATA_CENTRE_COST_S: f64 = 0.01;
-/// Part of a request's time that a full target counts longer, which spreads load.
-const BUSY_COST: f64 = 0.15;
-/// Seconds that a target which fails every request counts longer.
-const FAILURE_COST_S: f64 = 2.0;
 /// Part of the objective that a request may wait in any case.
 const WAIT_PART_MIN: f64 = 0.25;
 /// Part of the objective in which a request that waits must have ended.
@@ -36,6 +32,7 @@
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(2);
 /// Completions from which the rate of a service is estimated.
 const COMPLETIONS: usize = 32;
+const COMPLETIONS_MIN: usize = 4;
 /// Time beyond which a target counts as cold still, for reports on their way.
 const COLD_MARGIN: Duration = Duration::from_millis(300);
 
@@ -60,140 +57,6 @@
     pub cold_extra: f64,
 }
 
-/// A request that asks for a target.
-#[derive(Clone, Debug)]
-pub struct Ask {
-    /// Number of the request at this host.
-    pub number: u64,
-    /// Its route.
-    pub route: Arc<Route>,
-    /// Its service.
-    pub service: id::Service,
-    /// Object that it is about, on routes with affinity.
-    pub object: Option<u64>,
-    /// Priority, 0 the highest.
-    pub priority: u8,
-    /// Time at which it arrived.
-    pub arrived: Time,
-    /// Time after which an answer is of no use.
-    pub deadline: Time,
-    /// Regions that may serve it; empty for all.
-    pub homes: Vec<id::Region>,
-    /// Targets that it was sent to before.
-    pub tried: Vec<id::Target>,
-    /// Whether it asks for the first time.
-    pub attempt: Try,
-}
-
-/// Whether a request asks for the first time.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Try {
-    /// It asks for the first time.
-    First,
-    /// Nothing of it was sent so far.
-    Unsent,
-    /// A target has seen it; the budget of repeats counts it.
-    Repeat,
-}
-
-/// A request's place at a target.
-#[derive(Clone, Debug)]
-pub struct Ticket {
-    /// Number of the request.
-    pub number: u64,
-    /// Target.
-    pub target: id::Target,
-    /// Its address.
-    pub address: SocketAddr,
-    /// Its service.
-    pub service: id::Service,
-    /// Its route's name.
-    pub route: Box<str>,
-    /// Whether the target is taken to know the object.
-    pub recent: bool,
-    /// Time that the request is expected to take there, in seconds.
-    pub expected_s: f64,
-    /// Requests that the target held, as far as this host knew.
-    pub busy: f64,
-    /// Whether the target was idle enough that the request's time teaches something.
-    pub teaches: bool,
-}
-
-/// Why a request is refused.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Refused {
-    /// No target of the service may serve it.
-    NoTarget,
-    /// All targets are full, and it would wait too long.
-    NoRoom,
-    /// Too much is sent again.
-    NoBudget,
-}
-
-impl Refused {
-    /// Returns the reason's name.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Refused::NoTarget => "no-target",
-            Refused::NoRoom => "no-room",
-            Refused::NoBudget => "no-budget",
-        }
-    }
-}
-
-/// What becomes of a request.
-#[derive(Clone, Debug)]
-pub enum Placement {
-    /// It is sent.
-    Send(Ticket),
-    /// It is refused and has not run.
-    Refuse {
-        /// Why.
-        reason: Refused,
-        /// Time after which it may come back.
-        retry_after: Duration,
-    },
-}
-
-/// How a request ended at its target.
-#[derive(Clone, Copy, Debug)]
-pub enum Outcome {
-    /// The target answered.
-    Answered {
-        /// Time from sending to the answer.
-        took: Duration,
-        /// Load that the target reports.
-        report: Option<Report>,
-        /// Whether the answer is a failure.
-        failed: bool,
-    },
-    /// The target did not run it.
-    Shed {
-        /// Load that the target reports.
-        report: Option<Report>,
-    },
-    /// Another target has the address.
-    Misdirected,
-    /// The target could not be reached; nothing was sent.
-    Unreachable,
-    /// The connection ended without a whole answer.
-    Broken,
-    /// No answer was waited for any longer.
-    Abandoned,
-}
-
-#[derive(Debug)]
-struct Known {
-    target: Target,
-    hash: u64,
-    load: Load,
-    cold_until: Time,
-    cold: ColdLimit,
-    cold_share: usize,
-    /// The address has another target now.
-    misdirected: bool,
-}
-
 #[derive(Debug)]
 struct Service {
     terms: Option<ServiceTerms>,
@@ -216,17 +79,6 @@
     evacuated: BTreeSet<id::DataCentre>,
 }
 
-/// A target that may run a request.
-struct Candidate {
-    name: id::Target,
-    cost: f64,
-    recent: bool,
-    /// Time that it is expected to wait there, and to take.
-    wait_s: f64,
-    work_s: f64,
-    crosses: bool,
-}
-
 impl Desk {
     /// Creates a desk that knows no targets.
     pub fn new(settings: Settings) -> Desk {
@@ -284,6 +136,7 @@
             target: entry.clone(),
             hash: XxHash64::oneshot(0, name.as_str().as_bytes()),
             load: Load::default(),
+            queued: 0,
             cold_until: Time::ZERO,
             cold: ColdLimit::default(),
             cold_share: 0,
@@ -401,6 +254,11 @@
     fn serve(&mut self, now: Time, name: &id::Service) -> Vec<(u64, Placement)> {
         let Some(service) = self.services.get_mut(name) else { return Vec::new() };
         let waiting = std::mem::take(&mut service.waiting);
+        for target in &service.targets {
+            if let Some(known) = self.targets.get_mut(target) {
+                known.queued = 0;
+            }
+        }
         let mut decided = Vec::new();
         let mut kept = Vec::new();
         for ask in waiting {
@@ -417,81 +275,62 @@
 
     /// Decides on one request with `ahead` requests waiting before it; `None` lets it wait.
     fn decide(&mut self, now: Time, ask: &Ask, ahead: usize) -> Option<Placement> {
-        let refuse = |reason, retry_after| Some(Placement::Refuse { reason, retry_after });
-        let (best, usable) = self.best(now, ask);
-        if let Some(best) = best {
-            let left = ask.deadline.since(now).as_secs_f64();
-            if best.wait_s > 0.0 && best.wait_s + best.work_s > left {
-                return refuse(Refused::NoRoom, RETRY_AFTER_MIN);
-            }
+        let refuse = |reason, wait_s: f64| {
+            let wait = Duration::from_secs_f64(wait_s.clamp(0.0, RETRY_AFTER_MAX.as_secs_f64()));
+            Some(Placement::Refuse { reason, retry_after: wait.max(RETRY_AFTER_MIN) })
+        };
+        let wait_max_s = self.give_up(now, ask).since(now).as_secs_f64();
+        let choice = self.choose(now, ask, wait_max_s);
+        if !choice.usable {
+            return refuse(Refused::NoTarget, 0.0);
+        }
+        let Some(best) = choice.best else {
+            let wait_s =
+                choice.least_wait_s.unwrap_or_else(|| self.expected_wait_s(now, ask, ahead));
+            let hopeless = choice.least_wait_s.is_some() || wait_s >= wait_max_s;
+            return if hopeless { refuse(Refused::NoRoom, wait_s) } else { None };
+        };
+        let left_s = ask.deadline.since(now).as_secs_f64();
+        if best.wait_s > 0.0 && best.wait_s + best.work_s > left_s {
+            return refuse(Refused::NoRoom, best.wait_s);
+        }
+        if best.has_room {
             return Some(Placement::Send(self.send(now, ask, best)));
         }
-        if !usable {
-            return refuse(Refused::NoTarget, RETRY_AFTER_MIN);
+        if wait_max_s <= 0.0 || ahead >= WAITING_MAX {
+            return refuse(Refused::NoRoom, best.wait_s);
         }
-        let wait = self.expected_wait(now, ask, ahead);
-        let give_up = self.give_up(now, ask);
-        if now + wait >= give_up || ahead >= WAITING_MAX {
-            return refuse(Refused::NoRoom, wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX));
+        if let Some(known) = self.targets.get_mut(&best.name) {
+            known.queued += 1;
         }
         None
     }
 
-    /// Returns the target with the least cost, and whether any could serve the request later.
-    fn best(&mut self, now: Time, ask: &Ask) -> (Option<Candidate>, bool) {
+    fn choose(&mut self, now: Time, ask: &Ask, wait_max_s: f64) -> Choice {
         let (interval, cap) = (self.settings.shift_interval, self.settings.shift_cap);
         let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
-        let Some(service) = self.services.get_mut(&ask.service) else { return (None, false) };
+        let service = self.service(now, &ask.service);
+        let work = service.work.entry(ask.route.name.clone());
+        let work = *work.or_insert_with(|| Work::new(ask.route.objective));
         let may_cross = service.shift.may_cross(now, interval, cap);
-        let work = *service
-            .work
-            .entry(ask.route.name.clone())
-            .or_insert_with(|| Work::new(ask.route.objective));
-        let connections =
-            service.terms.as_ref().map_or(u32::MAX, |terms| (terms.connections_max / hosts).max(2));
-        let mut usable = false;
-        let mut first: HashMap<Option<&id::Region>, u64> = HashMap::new();
-        let mut open: Vec<(&id::Target, u64)> = Vec::new();
-        for name in &service.targets {
-            let Some(known) = self.targets.get(name) else { continue };
-            let region = self.settings.regions.get(&known.target.data_centre);
-            let is_home = ask.homes.is_empty() || region.is_some_and(|r| ask.homes.contains(r));
-            let open_for_all = known.target.state == TargetState::Ready
-                && !known.misdirected
-                && !self.evacuated.contains(&known.target.data_centre);
-            if !open_for_all || !is_home || ask.tried.contains(name) {
-                continue;
-            }
-            usable = true;
-            let score = ask.object.map_or(0, |object| mix(known.hash, object));
-            let best = first.entry(region).or_default();
-            *best = score.max(*best);
-            open.push((name, score));
-        }
-        let mut best: Option<Candidate> = None;
-        for (name, score) in open {
-            let Some(known) = self.targets.get_mut(name) else { continue };
-            let region = self.settings.regions.get(&known.target.data_centre);
-            let crosses = region != self.region.as_ref();
-            if (crosses && !may_cross) || !known.has_room(now, connections) {
-                continue;
-            }
-            let is_first = ask.object.is_some() && first.get(&region) == Some(&score);
-            let recent = is_first || ask.object.is_some_and(|object| known.load.remembers(object));
-            let work_s = work.expected(recent);
-            let wait_s = known.wait_s(now, work.expected(true));
-            let mut cost = known.cost(now, wait_s, work_s);
-            if crosses {
-                cost += REGION_COST_S;
-            } else if known.target.data_centre != self.settings.data_centre {
-                cost += DATA_CENTRE_COST_S;
-            }
-            if best.as_ref().is_none_or(|best| cost < best.cost) {
-                best =
-                    Some(Candidate { name: name.clone(), cost, recent, wait_s, work_s, crosses });
-            }
-        }
-        (best, usable)
+        let terms = service.terms.as_ref();
+        let connections = terms.map_or(u32::MAX, |terms| (terms.connections_max / hosts).max(2));
+        let Some(service) = self.services.get(&ask.service) else {
+            return Choice { best: None, usable: false, least_wait_s: None };
+        };
+        let view = View {
+            targets: &service.targets,
+            known: &mut self.targets,
+            regions: &self.settings.regions,
+            evacuated: &self.evacuated,
+            data_centre: &self.settings.data_centre,
+            region: self.region.as_ref(),
+            may_cross,
+            connections,
+            wait_max_s,
+            work,
+        };
+        choice::choose(now, ask, view)
     }
 
     fn send(&mut self, now: Time, ask: &Ask, best: Candidate) -> Ticket {
@@ -504,31 +343,31 @@
         if known.is_cold(now) {
             known.cold.send(now);
         }
-        known.load.send(ask.object);
+        known.load.send();
         Ticket {
             number: ask.number,
             target: best.name,
             address: known.target.address,
             service: ask.service.clone(),
             route: ask.route.name.clone(),
+            object: ask.object,
             recent: best.recent,
             expected_s: best.work_s,
             busy,
-            teaches: busy < f64::from(known.target.slots) && !known.is_cold(now),
+            teaches: best.certain && busy < f64::from(known.target.slots) && !known.is_cold(now),
         }
     }
 
-    /// Returns the time until a request with `ahead` requests before it is expected to find room.
-    fn expected_wait(&self, now: Time, ask: &Ask, ahead: usize) -> Duration {
-        let Some(service) = self.services.get(&ask.service) else { return RETRY_AFTER_MAX };
+    /// Returns the seconds until a request with `ahead` requests before it is expected to find room.
+    fn expected_wait_s(&self, now: Time, ask: &Ask, ahead: usize) -> f64 {
+        let Some(service) = self.services.get(&ask.service) else { return 0.0 };
         let done = service.completions.len();
         let since = service.completions.front().map_or(Duration::ZERO, |&first| now.since(first));
-        if done < 4 || since.is_zero() {
-            return Duration::ZERO;
+        if done < COMPLETIONS_MIN || since.is_zero() {
+            return 0.0;
         }
         let number = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
-        let each_s = since.as_secs_f64() / number(done);
-        Duration::from_secs_f64((each_s * number(ahead + 1)).min(60.0))
+        since.as_secs_f64() / number(done) * number(ahead + 1)
     }
 
     /// Returns the time at which a request that waits is refused.
@@ -572,75 +411,3 @@
         known.cold_share = ColdLimit::share(rate, before, self.hosts.len());
     }
 }
-
-impl Known {
-    fn is_cold(&self, now: Time) -> bool {
-        now < self.cold_until
-    }
-
-    fn has_room(&mut self, now: Time, connections: u32) -> bool {
-        let slots = f64::from(self.target.slots);
-        let most = slots + (slots * OVERBOOKED_PART).max(1.0);
-        if self.load.is_closed(now) || self.load.own() >= connections {
-            return false;
-        }
-        if self.load.was_closed() && self.load.own() > 0 {
-            return false;
-        }
-        if self.is_cold(now) && !self.cold.has_room(now, self.cold_share) {
-            return false;
-        }
-        self.load.busy(now) < most
-    }
-
-    /// Returns the seconds that a request is expected to wait for a slot, where each of those before
-    /// it takes `usual_s`.
-    fn wait_s(&self, now: Time, usual_s: f64) -> f64 {
-        let slots = f64::from(self.target.slots.max(1));
-        let ahead = (self.load.busy(now) - slots + 1.0).max(0.0);
-        ahead / slots * usual_s * self.load.slowness(now).max(1.0)
-    }
-
-    /// Returns the seconds that a request is expected to take, with what else counts against the
-    /// target.
-    fn cost(&self, now: Time, wait_s: f64, work_s: f64) -> f64 {
-        let slots = f64::from(self.target.slots.max(1));
-        let busy = (self.load.busy(now) / slots).min(1.0);
-        wait_s
-            + work_s * self.load.slowness(now).max(1.0)
-            + work_s * BUSY_COST * busy
-            + FAILURE_COST_S * self.load.failing(now)
-    }
-
-    fn learn(&mut self, now: Time, ticket: &Ticket, outcome: Outcome) {
-        match outcome {
-            Outcome::Answered { took, report, failed } => {
-                if let Some(report) = report {
-                    self.load.report(now, report);
-                }
-                self.load.ended(now, failed);
-                if ticket.teaches && !failed {
-                    self.load.took(now, took.as_secs_f64() / ticket.expected_s.max(0.001));
-                }
-            }
-            Outcome::Shed { report } => {
-                if let Some(report) = report {
-                    self.load.report(now, report);
-                }
-                let full = report.is_some_and(|report| report.running >= report.slots);
-                if !full {
-                    self.load.ended(now, true);
-                }
-            }
-            Outcome::Misdirected => self.misdirected = true,
-            Outcome::Unreachable => self.load.close(now),
-            Outcome::Broken => self.load.ended(now, true),
-            Outcome::Abandoned => {}
-        }
-    }
-}
-
-/// Returns the rendezvous score of a target for an object.
-fn mix(target: u64, object: u64) -> u64 {
-    XxHash64::oneshot(target, &object.to_le_bytes())
-}
--- a/toucanhoist-core/src/steering/load.rs
+++ b/toucanhoist-core/src/steering/load.rs
@@ -95,15 +95,18 @@
         self.closed_until != Time::ZERO
     }
 
-    /// Whether this host sent it a request for an object recently.
+    /// Whether it handled a request of this host for an object recently.
     pub fn remembers(&self, object: u64) -> bool {
         self.objects.contains(&object)
     }
 
     /// Counts a request that is sent.
-    pub fn send(&mut self, object: Option<u64>) {
+    pub fn send(&mut self) {
         self.own += 1;
-        let Some(object) = object else { return };
+    }
+
+    /// Learns that the target has handled an object.
+    pub fn remember(&mut self, object: u64) {
         self.objects.retain(|known| *known != object);
         if self.objects.len() == OBJECTS_MAX {
             self.objects.pop_front();
--- /dev/null
+++ b/toucanhoist-core/tests/steering.rs
@@ -0,0 +1,12 @@
+//! Steering straight to targets: registry, routes, placement, budgets.
+
+#[path = "steering/budget.rs"]
+mod budget;
+#[path = "steering/desk.rs"]
+mod desk;
+#[path = "steering/registry.rs"]
+mod registry;
+#[path = "steering/routes.rs"]
+mod routes;
+#[path = "steering/support.rs"]
+mod support;
--- /dev/null
+++ b/toucanhoist-core/tests/steering/budget.rs
@@ -0,0 +1,70 @@
+use std::time::Duration;
+
+use {
+    rstest::rstest,
+    toucanhoist_core::steering::{ColdLimit, RetryBudget, RetryTerms},
+};
+
+use crate::support::at;
+
+const TERMS: RetryTerms = RetryTerms { ratio: 0.2, extra: 56.0, window: Duration::from_secs(10) };
+
+#[rstest]
+#[case::quiet(0)]
+#[case::busy(50)]
+#[case::very_busy(400)]
+fn repeats_of_all_hosts_stay_within_the_terms(#[case] per_s: u64) {
+    let hosts = 8;
+    let mut budgets = vec![RetryBudget::default(); hosts];
+    let mut repeats = Vec::new();
+    for millis in 0..40_000_u64 {
+        for budget in &mut budgets {
+            if per_s > 0 && millis % (1_000 / per_s).max(1) == 0 {
+                budget.request(at(millis), &TERMS);
+            }
+            if budget.take(at(millis), &TERMS, hosts) {
+                repeats.push(millis);
+            }
+        }
+    }
+    let requests_in_window = if per_s == 0 { 0 } else { 10_000 / (1_000 / per_s).max(1) * 8 };
+    let allowed = 0.2 * f64::from(u32::try_from(requests_in_window).expect("few")) + 56.0;
+    for start in (0..30_000).step_by(500) {
+        let inside = repeats.iter().filter(|at| (start..start + 10_000).contains(*at)).count();
+        let inside = f64::from(u32::try_from(inside).expect("few"));
+        assert!(inside <= allowed, "{inside} repeats from {start} ms, {allowed} allowed");
+    }
+    assert!(!repeats.is_empty());
+}
+
+#[rstest]
+#[case(18.0, 8, 18)]
+#[case(11.0, 8, 11)]
+#[case(3.9, 8, 3)]
+#[case(0.0, 8, 0)]
+#[case(18.0, 1, 18)]
+fn shares_of_a_cold_rate_add_up_to_it(
+    #[case] rate: f64,
+    #[case] hosts: usize,
+    #[case] expected: usize,
+) {
+    let shares: usize = (0..hosts).map(|rank| ColdLimit::share(rate, rank, hosts)).sum();
+    assert_eq!(shares, expected);
+}
+
+#[test]
+fn a_cold_target_gets_its_share_in_any_second() {
+    let mut limit = ColdLimit::default();
+    let mut sent = Vec::new();
+    for millis in 0..5_000_u64 {
+        if limit.has_room(at(millis), 3) {
+            limit.send(at(millis));
+            sent.push(millis);
+        }
+    }
+    for start in 0..4_000 {
+        let inside = sent.iter().filter(|at| (start..start + 1_000).contains(*at)).count();
+        assert!(inside <= 3, "{inside} requests from {start} ms");
+    }
+    assert!(sent.len() >= 12, "{} requests in five seconds", sent.len());
+}
--- /dev/null
+++ b/toucanhoist-core/tests/steering/desk.rs
@@ -0,0 +1,271 @@
+use std::{collections::BTreeSet, time::Duration};
+
+use {
+    rstest::rstest,
+    toucanhoist_core::steering::{
+        Desk, Outcome, Placement, Refused, Report, TargetState, Ticket, Try,
+    },
+};
+
+use crate::support::{answered, ask, at, config, desk, name, place, settings, target, target_id};
+
+const NORTH: [(&str, &str, u32); 4] =
+    [("t1", "n1", 4), ("t2", "n1", 4), ("t3", "n2", 4), ("t4", "n2", 4)];
+
+#[test]
+fn requests_for_an_object_go_to_the_same_target_from_all_hosts() {
+    let mut firsts = BTreeSet::new();
+    for object in 0..40 {
+        let mut chosen = BTreeSet::new();
+        for (host, data_centre) in [("h1", "n1"), ("h2", "n1"), ("h3", "n2")] {
+            let mut desk = Desk::new(settings(host, data_centre));
+            desk.set_config(at(0), &config());
+            for (text, data_centre, slots) in NORTH {
+                desk.set_target(at(0), &name(text), Some(&target(data_centre, slots)));
+            }
+            let mut ask = ask(1, at(0));
+            ask.object = Some(object);
+            chosen.insert(place(&mut desk, at(0), ask).expect("a place").target);
+        }
+        assert_eq!(chosen.len(), 1, "object {object} goes to {chosen:?}");
+        firsts.extend(chosen);
+    }
+    assert_eq!(firsts.len(), NORTH.len(), "objects are spread over all targets");
+}
+
+#[test]
+fn an_object_waits_for_its_target_a_little_and_goes_to_another_rather_than_be_refused() {
+    let mut desk = desk(&NORTH);
+    let mut sent = Vec::new();
+    for number in 0..16 {
+        let mut ask = ask(number, at(0));
+        ask.object = Some(7);
+        for (_, placement) in desk.ask(at(0), ask) {
+            match placement {
+                Placement::Send(ticket) => sent.push(ticket.target),
+                Placement::Refuse { reason, .. } => panic!("{reason:?} while targets are idle"),
+            }
+        }
+    }
+    let first = sent[0].clone();
+    let there = sent.iter().filter(|target| **target == first).count();
+    assert_eq!(there, 5, "its target is full before others are used");
+    assert!(sent.len() > there, "others are used");
+    assert!(sent.len() < 16, "some wait for their target");
+}
+
+/// Fills the one target of a desk, with four slots; returns the places.
+fn fill(desk: &mut Desk) -> Vec<Ticket> {
+    (100..105).filter_map(|number| place(desk, at(0), ask(number, at(0)))).collect()
+}
+
+#[test]
+fn a_request_that_finds_no_room_waits_until_one_ends() {
+    let mut desk = desk(&[("t1", "n1", 4)]);
+    let places = fill(&mut desk);
+    assert_eq!(places.len(), 5, "four in slots, one in the target's queue");
+    assert!(place(&mut desk, at(0), ask(3, at(0))).is_none());
+    assert!(desk.is_waiting());
+    assert!(desk.poll(at(10)).is_empty());
+    desk.end(at(20), &places[0], answered(20));
+    let decided = desk.poll(at(20));
+    assert!(matches!(&decided[..], [(3, Placement::Send(_))]), "{decided:?}");
+    assert!(!desk.is_waiting());
+}
+
+#[test]
+fn a_request_that_waited_too_long_for_its_objective_is_refused() {
+    let mut desk = desk(&[("t1", "n1", 4)]);
+    fill(&mut desk);
+    assert!(place(&mut desk, at(0), ask(2, at(0))).is_none());
+    assert!(desk.poll(at(50)).is_empty());
+    let decided = desk.poll(at(599));
+    assert!(
+        matches!(&decided[..], [(2, Placement::Refuse { reason: Refused::NoRoom, .. })]),
+        "{decided:?}"
+    );
+}
+
+#[test]
+fn a_request_that_would_wait_too_long_is_refused_at_once() {
+    let mut desk = desk(&[("t1", "n1", 4)]);
+    fill(&mut desk);
+    let mut refused = 0;
+    for number in 0..40 {
+        for (decided, placement) in desk.ask(at(1), ask(number, at(1))) {
+            assert_eq!(decided, number, "those before it have better prospects");
+            assert!(matches!(placement, Placement::Refuse { reason: Refused::NoRoom, .. }));
+            refused += 1;
+        }
+    }
+    assert!((30..40).contains(&refused), "{refused} of 40 refused at once");
+}
+
+#[test]
+fn the_most_urgent_request_gets_the_next_place() {
+    let mut desk = desk(&[("t1", "n1", 4)]);
+    let places = fill(&mut desk);
+    for (number, priority) in [(3, 2), (4, 0), (5, 1)] {
+        let mut ask = ask(number, at(0));
+        ask.priority = priority;
+        assert!(place(&mut desk, at(0), ask).is_none());
+    }
+    desk.end(at(5), &places[0], answered(5));
+    let decided = desk.poll(at(5));
+    assert!(
+        decided.iter().any(|(number, p)| *number == 4 && matches!(p, Placement::Send(_))),
+        "{decided:?}"
+    );
+}
+
+#[test]
+fn a_request_that_is_taken_back_gets_no_place() {
+    let mut desk = desk(&[("t1", "n1", 4)]);
+    let places = fill(&mut desk);
+    assert!(place(&mut desk, at(0), ask(3, at(0))).is_none());
+    desk.cancel(3);
+    desk.end(at(5), &places[0], answered(5));
+    assert!(desk.poll(at(5)).is_empty());
+}
+
+#[rstest]
+#[case::draining(|desk: &mut Desk| {
+    let mut leaving = target("n1", 4);
+    leaving.state = TargetState::Draining;
+    desk.set_target(at(1), &target_id("t1"), Some(&leaving));
+})]
+#[case::gone(|desk: &mut Desk| desk.set_target(at(1), &target_id("t1"), None))]
+#[case::evacuated(|desk: &mut Desk| desk.set_evacuated(at(1), BTreeSet::from([name("n1")])))]
+#[case::other_service(|desk: &mut Desk| {
+    let mut moved = target("n1", 4);
+    moved.service = name("cuts");
+    desk.set_target(at(1), &target_id("t1"), Some(&moved));
+})]
+fn a_target_that_may_not_be_used_gets_nothing(#[case] change: fn(&mut Desk)) {
+    let mut desk = desk(&[("t1", "n1", 4)]);
+    change(&mut desk);
+    let decided = desk.ask(at(2), ask(1, at(2)));
+    assert!(
+        matches!(&decided[..], [(1, Placement::Refuse { reason: Refused::NoTarget, .. })]),
+        "{decided:?}"
+    );
+}
+
+#[test]
+fn requests_stay_in_their_home_regions() {
+    let mut desk = desk(&[("t1", "n1", 1), ("t2", "s1", 4)]);
+    let mut south = ask(1, at(0));
+    south.homes = vec![name("south")];
+    // Crossing to another region is capped, so nothing else is left for it at first.
+    assert!(place(&mut desk, at(0), south).is_none_or(|ticket| ticket.target.as_str() == "t2"));
+    let mut north = ask(2, at(0));
+    north.homes = vec![name("north")];
+    assert_eq!(place(&mut desk, at(0), north).expect("a place").target.as_str(), "t1");
+}
+
+#[test]
+fn few_requests_change_the_region_at_once() {
+    let mut desk = desk(&[("t1", "n1", 1), ("t2", "s1", 200)]);
+    let mut crossed = 0;
+    for number in 0..200 {
+        let now = at(number * 10);
+        for (_, placement) in desk.ask(now, ask(number, now)) {
+            let Placement::Send(ticket) = placement else { continue };
+            crossed += u32::from(ticket.target.as_str() == "t2");
+        }
+    }
+    assert!((1..=20).contains(&crossed), "{crossed} of 200 crossed, the cap is a tenth");
+}
+
+#[test]
+fn a_cold_target_gets_a_part_of_its_rate() {
+    let mut desk = desk(&[("t1", "n1", 100)]);
+    desk.set_hosts(["h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8"].map(name).to_vec());
+    let mut cold = target("n1", 100);
+    (cold.cold_left, cold.born) = (Duration::from_secs(3), 2);
+    desk.set_target(at(0), &target_id("t1"), Some(&cold));
+    let sent = (0..100).filter(|n| place(&mut desk, at(n * 9), ask(*n, at(n * 9))).is_some());
+    // 9 x 1.5 + 5 requests a second over eight hosts.
+    assert!((2..=3).contains(&sent.count()));
+}
+
+#[test]
+fn targets_of_a_data_centre_that_is_taken_back_count_as_cold() {
+    let mut desk = desk(&[("t1", "n1", 100)]);
+    desk.set_hosts(["h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8"].map(name).to_vec());
+    desk.set_evacuated(at(0), BTreeSet::from([name("n1")]));
+    desk.set_evacuated(at(5_000), BTreeSet::new());
+    let sent =
+        (0..100).filter(|n| place(&mut desk, at(5_001 + n), ask(*n, at(5_001 + n))).is_some());
+    assert!((2..=3).contains(&sent.count()));
+}
+
+#[test]
+fn a_target_that_cannot_be_reached_is_left_alone_for_a_while() {
+    let mut desk = desk(&[("t1", "n1", 4), ("t2", "n1", 4)]);
+    let ticket = place(&mut desk, at(0), ask(1, at(0))).expect("a place");
+    desk.end(at(1), &ticket, Outcome::Unreachable);
+    let others: Vec<Ticket> =
+        (2..6).filter_map(|n| place(&mut desk, at(2), ask(n, at(2)))).collect();
+    assert!(others.iter().all(|other| other.target != ticket.target));
+}
+
+#[test]
+fn an_address_that_another_target_has_is_not_used_until_the_entry_changes() {
+    let mut desk = desk(&[("t1", "n1", 4)]);
+    let ticket = place(&mut desk, at(0), ask(1, at(0))).expect("a place");
+    desk.end(at(1), &ticket, Outcome::Misdirected);
+    assert!(place(&mut desk, at(60_000), ask(2, at(60_000))).is_none());
+    let mut moved = target("n1", 4);
+    moved.address = "10.0.0.2:80".parse().expect("an address");
+    desk.set_target(at(60_001), &target_id("t1"), Some(&moved));
+    assert!(place(&mut desk, at(60_002), ask(3, at(60_002))).is_some());
+}
+
+#[test]
+fn load_that_other_hosts_bring_counts() {
+    let mut desk = desk(&[("t1", "n1", 4), ("t2", "n1", 4)]);
+    let ticket = place(&mut desk, at(0), ask(1, at(0))).expect("a place");
+    let report = Some(Report { running: 4, waiting: 3, slots: 4 });
+    let took = Duration::from_millis(50);
+    desk.end(at(50), &ticket, Outcome::Answered { took, report, failed: false });
+    let next = place(&mut desk, at(51), ask(2, at(51))).expect("a place");
+    assert_ne!(next.target, ticket.target);
+}
+
+#[test]
+fn a_slow_target_gets_less_than_its_like_and_is_tried_again() {
+    let mut desk = desk(&[("t1", "n1", 4), ("t2", "n1", 4)]);
+    let mut counts = [0, 0];
+    for number in 0..400 {
+        let now = at(number * 100);
+        let ticket = place(&mut desk, now, ask(number, now)).expect("a place");
+        let slow = ticket.target.as_str() == "t1";
+        counts[usize::from(!slow)] += 1;
+        let took = if slow { 3_000 } else { 300 };
+        desk.end(now + Duration::from_millis(99), &ticket, answered(took));
+    }
+    assert!(counts[0] * 4 < counts[1], "{counts:?}");
+    assert!(counts[0] >= 3, "{counts:?}");
+}
+
+#[rstest]
+#[case::repeat(Try::Repeat, 1, 7)]
+#[case::unsent(Try::Unsent, 100, 100)]
+fn only_sends_that_reached_a_target_count_as_repeats(
+    #[case] attempt: Try,
+    #[case] least: usize,
+    #[case] most: usize,
+) {
+    let mut desk = desk(&[("t1", "n1", 1_000)]);
+    // The extra repeats of the fleet are divided by its hosts: 56 / 8.
+    desk.set_hosts(["h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8"].map(name).to_vec());
+    let placed = (0..100).filter(|number| {
+        let mut ask = ask(*number, at(0));
+        ask.attempt = attempt;
+        let ticket = place(&mut desk, at(0), ask);
+        ticket.inspect(|ticket| desk.end(at(0), ticket, answered(1))).is_some()
+    });
+    let placed = placed.count();
+    assert!((least..=most).contains(&placed), "{placed}");
+}
--- /dev/null
+++ b/toucanhoist-core/tests/steering/registry.rs
@@ -0,0 +1,89 @@
+use std::{sync::Arc, time::Duration};
+
+use {
+    rstest::rstest,
+    toucanhoist_core::steering::{Config, Entry, Key, Registry, Topic, Value},
+};
+
+use crate::support::{name, target};
+
+fn config(revision: u64) -> Value {
+    Value::Config(Arc::new(Config { revision: revision.into(), ..Config::default() }))
+}
+
+fn entry(version: u64, value: Value) -> Entry {
+    Entry { version, value: Some(value) }
+}
+
+fn gone(version: u64) -> Entry {
+    Entry { version, value: None }
+}
+
+#[test]
+fn the_newest_entry_wins_on_any_path() {
+    let key = Key::Target(name("t1"));
+    let mut registry = Registry::default();
+    assert!(registry.apply(key.clone(), entry(5, Value::Target(target("n1", 1)))));
+    assert!(!registry.apply(key.clone(), gone(4)), "an older removal");
+    assert!(!registry.apply(key.clone(), gone(5)), "the same version again");
+    assert!(registry.apply(key.clone(), gone(6)));
+    assert_eq!(registry.value(&key), None);
+    assert!(!registry.apply(key.clone(), entry(5, Value::Target(target("n1", 1)))));
+    assert!(registry.apply(key.clone(), entry(7, Value::Target(target("n2", 1)))));
+    assert!(registry.value(&key).is_some(), "a target that is back under its name");
+}
+
+#[rstest]
+#[case::lower_revision(entry(9, config(6)))]
+#[case::removed(gone(9))]
+#[case::unreadable(entry(9, Value::Unreadable))]
+fn a_configuration_never_goes_back(#[case] later: Entry) {
+    let mut registry = Registry::default();
+    registry.apply(Key::Config, entry(3, config(7)));
+    assert!(!registry.apply(Key::Config, later));
+    assert_eq!(registry.value(&Key::Config), Some(&config(7)));
+    assert!(registry.apply(Key::Config, entry(10, config(8))));
+}
+
+#[test]
+fn a_full_read_removes_what_is_missing() {
+    let mut registry = Registry::default();
+    let keys = ["t1", "t2", "t3"].map(|text| Key::Target(name(text)));
+    for (version, key) in (1..).zip(&keys) {
+        registry.apply(key.clone(), entry(version, Value::Target(target("n1", 1))));
+    }
+    registry.apply(Key::Evacuation(name("n2")), entry(9, Value::Evacuation));
+    let read = vec![(keys[0].clone(), entry(1, Value::Target(target("n1", 1))))];
+    let changed = registry.replace(Topic::Targets, 2, read);
+    assert_eq!(changed.into_iter().collect::<Vec<_>>(), [keys[1].clone()]);
+    assert!(registry.value(&keys[2]).is_some(), "newer than the read");
+    assert!(registry.value(&Key::Evacuation(name("n2"))).is_some(), "of another topic");
+    assert_eq!(registry.version(Topic::Targets), Some(2));
+}
+
+#[test]
+fn a_snapshot_brings_another_host_up_to_date() {
+    let mut one = Registry::default();
+    one.apply(Key::Config, entry(3, config(7)));
+    one.apply(Key::Target(name("t1")), gone(4));
+    one.reach(Topic::Operator, 3);
+    let mut other = Registry::default();
+    other.apply(Key::Target(name("t1")), entry(2, Value::Target(target("n1", 1))));
+    let text = serde_json::to_string(&one.snapshot()).expect("a snapshot is JSON");
+    let changed = other.merge(serde_json::from_str(&text).expect("the snapshot again"));
+    assert_eq!(changed.len(), 2);
+    assert_eq!(other.value(&Key::Config), Some(&config(7)));
+    assert_eq!(other.value(&Key::Target(name("t1"))), None);
+}
+
+#[test]
+fn durations_survive_a_snapshot() {
+    let mut cold = target("n1", 1);
+    cold.cold_left = Duration::from_millis(1_250);
+    let mut one = Registry::default();
+    one.apply(Key::Target(name("t1")), entry(2, Value::Target(cold.clone())));
+    let text = serde_json::to_string(&one.snapshot()).expect("a snapshot is JSON");
+    let mut other = Registry::default();
+    other.merge(serde_json::from_str(&text).expect("the snapshot again"));
+    assert_eq!(other.value(&Key::Target(name("t1"))), Some(&Value::Target(cold)));
+}
--- /dev/null
+++ b/toucanhoist-core/tests/steering/support.rs
@@ -0,0 +1,116 @@
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use toucanhoist_core::{
+    clock::Time,
+    id,
+    steering::{
+        Ask, Config, Desk, Outcome, Part, Placement, RetryTerms, Route, ServiceTerms, Settings,
+        Target, TargetState, Ticket, Try,
+    },
+};
+
+pub fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a name")
+}
+
+pub fn at(millis: u64) -> Time {
+    Time::from_millis(1_000 + millis)
+}
+
+/// Two regions: `north` with data centres `n1` and `n2`, `south` with `s1`.
+pub fn settings(host: &str, data_centre: &str) -> Settings {
+    let regions = [("n1", "north"), ("n2", "north"), ("s1", "south")];
+    Settings {
+        host: name(host),
+        data_centre: name(data_centre),
+        regions: BTreeMap::from(regions.map(|(centre, region)| (name(centre), name(region)))),
+        retries: RetryTerms { ratio: 0.2, extra: 56.0, window: Duration::from_secs(10) },
+        shift_cap: 0.1,
+        shift_interval: Duration::from_secs(2),
+        cold_factor: 1.5,
+        cold_extra: 5.0,
+    }
+}
+
+pub fn route(prefix: &str, service: &str) -> Route {
+    Route {
+        name: prefix.into(),
+        prefix: prefix.into(),
+        repeatable: true,
+        timeout: Some(Duration::from_secs(2)),
+        objective: Some(Duration::from_millis(600)),
+        priority: 1,
+        parts: vec![Part { service: name(service), weight: 1.0 }],
+        attempts_max: 2,
+        open: true,
+        affinity: true,
+        homes: Vec::new(),
+    }
+}
+
+pub fn config() -> Config {
+    let terms = ServiceTerms {
+        name: name("curves"),
+        connections_max: 330,
+        cold_time: Duration::from_secs(3),
+        cold_rate: 9.0,
+    };
+    Config { revision: 1.into(), services: vec![terms], ..Config::default() }
+}
+
+pub fn target(data_centre: &str, slots: u32) -> Target {
+    Target {
+        service: name("curves"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        data_centre: name(data_centre),
+        slots,
+        state: TargetState::Ready,
+        cold_left: Duration::ZERO,
+        born: 1,
+    }
+}
+
+/// A desk of host `h1` in `n1`, with targets by name, data centre and slots.
+pub fn desk(targets: &[(&str, &str, u32)]) -> Desk {
+    let mut desk = Desk::new(settings("h1", "n1"));
+    desk.set_config(at(0), &config());
+    for (target_name, data_centre, slots) in targets {
+        desk.set_target(at(0), &name(target_name), Some(&target(data_centre, *slots)));
+    }
+    desk
+}
+
+pub fn ask(number: u64, now: Time) -> Ask {
+    Ask {
+        number,
+        route: Arc::new(route("/curves/", "curves")),
+        service: name("curves"),
+        object: None,
+        priority: 1,
+        arrived: now,
+        deadline: now + Duration::from_secs(2),
+        homes: Vec::new(),
+        tried: Vec::new(),
+        attempt: Try::First,
+    }
+}
+
+/// Asks and returns the place; `None` if the request waits or is refused.
+pub fn place(desk: &mut Desk, now: Time, ask: Ask) -> Option<Ticket> {
+    let number = ask.number;
+    match desk.ask(now, ask).into_iter().find(|(decided, _)| *decided == number)?.1 {
+        Placement::Send(ticket) => Some(ticket),
+        Placement::Refuse { .. } => None,
+    }
+}
+
+pub fn answered(took_ms: u64) -> Outcome {
+    Outcome::Answered { took: Duration::from_millis(took_ms), report: None, failed: false }
+}
+
+pub fn target_id(text: &str) -> id::Target {
+    name(text)
+}
