Read the store at once after a restart; keep idle connections for longer

Ruled out: two homes for an object where the targets remember enough.

Change: only at the fleet's first start does a host wait for the members. Idle connections are used for 8.5 s, 5 s for requests that must not run twice, and for 0.85 of what a target announces.

--- a/toucanhoist-core/src/steering/relay.rs
+++ b/toucanhoist-core/src/steering/relay.rs
@@ -18,7 +18,8 @@
 /// Time without word from a watcher after which a host follows the store itself: two intervals of
 /// their word, and a part of the time in which changes must be in force.
 const SILENCE_MAX: Duration = Duration::from_millis(1_200);
-/// Time after the start in which the members become known.
+/// Time after the fleet's first start in which the members become known. A host that starts later reads
+/// the store at once, so that it serves again soon.
 const SETTLE: Duration = Duration::from_millis(500);
 
 /// Interval at which watchers tell how far they are.
@@ -30,16 +31,18 @@
     host: id::EntryHost,
     region: Option<id::Region>,
     regions: BTreeMap<id::DataCentre, id::Region>,
-    started: Time,
+    settled: Time,
     heard: Time,
     is_watcher: bool,
     neighbours: Vec<SocketAddr>,
 }
 
 impl Relay {
-    /// Creates the relay of a host that starts now.
+    /// Creates the relay of a host that starts now; `first_start` says whether the whole fleet does,
+    /// for the first time.
     pub fn new(
         now: Time,
+        first_start: bool,
         host: id::EntryHost,
         data_centre: &id::DataCentre,
         regions: BTreeMap<id::DataCentre, id::Region>,
@@ -49,7 +52,7 @@
             host,
             region,
             regions,
-            started: now,
+            settled: if first_start { now + SETTLE } else { now },
             heard: now,
             is_watcher: true,
             neighbours: Vec::new(),
@@ -78,8 +81,7 @@
 
     /// Whether the host follows the store.
     pub fn is_active(&self, now: Time) -> bool {
-        let is_settled = now.since(self.started) >= SETTLE;
-        (is_settled && self.is_watcher) || now.since(self.heard) >= SILENCE_MAX
+        (now >= self.settled && self.is_watcher) || now.since(self.heard) >= SILENCE_MAX
     }
 
     /// Whether the host tells the others of its region.
--- a/toucanhoist-edge/src/fleet.rs
+++ b/toucanhoist-edge/src/fleet.rs
@@ -182,6 +182,7 @@
     let settings = &parts.settings;
     let relay = Relay::new(
         parts.clock.now(),
+        settings.first_start,
         settings.name.clone(),
         &settings.data_centre,
         settings.regions.clone(),
--- a/toucanhoist-edge/src/target.rs
+++ b/toucanhoist-edge/src/target.rs
@@ -29,12 +29,13 @@
 
 /// Time in which a connection must be made; longer than a round trip between regions.
 const CONNECT_MAX: Duration = Duration::from_millis(450);
-/// Idle time after which a connection is not used again.
-const IDLE_MAX: Duration = Duration::from_secs(6);
+/// Idle time after which a connection is not used again, where the target announces none; targets
+/// close theirs after ten seconds.
+const IDLE_MAX: Duration = Duration::from_millis(8_500);
 /// The same for requests that must not run twice: a close on its way would leave their end open.
-const IDLE_MAX_ONCE: Duration = Duration::from_secs(3);
+const IDLE_MAX_ONCE: Duration = Duration::from_secs(5);
 /// Part of the idle time that a target announces after which its connection is not used again.
-const ANNOUNCED_PART: f64 = 0.6;
+const ANNOUNCED_PART: f64 = 0.85;
 /// Idle connections that are kept to one target.
 const IDLE_CONNECTIONS: usize = 16;
 /// Time for which a target that sent stray bytes gets fresh connections.
