Read as a newcomer: say what is meant, drop what nothing uses

Cause: a read of the whole change. The wait for an account's token stood in the middle of another step and threw its result away in an odd line; two functions had no caller, one returned a time that nobody read, and a doc comment said something else than its function did.

--- a/toucanhoist-core/src/steering/desk.rs
+++ b/toucanhoist-core/src/steering/desk.rs
@@ -128,11 +128,6 @@
         self.set_cold_shares();
     }
 
-    /// Returns the number of hosts that may send to targets.
-    pub fn hosts(&self) -> usize {
-        self.hosts.len()
-    }
-
     /// Takes in a configuration.
     pub fn set_config(&mut self, now: Time, config: &Config) {
         for service in self.services.values_mut() {
--- a/toucanhoist-edge/src/gateway/answer.rs
+++ b/toucanhoist-edge/src/gateway/answer.rs
@@ -84,7 +84,8 @@
     }
 }
 
-/// Returns a target's answer, and whether it came whole.
+/// Returns a target's answer. `lease` is the place at the target, kept until a long body has passed;
+/// `without_body` says that the answer states the length of a body that does not come.
 pub(super) fn of_target(
     answer: target::Answer,
     without_body: bool,
--- a/toucanhoist-edge/src/gateway/request.rs
+++ b/toucanhoist-edge/src/gateway/request.rs
@@ -124,20 +124,27 @@
     };
     let admitted = admit(shared, &routes, id, arrived, wait, head, body)?;
     if let Some(account) = admitted.account.as_ref().filter(|account| account.rate > 0.0) {
-        let admission = shared.steer.admit(&account.name);
-        let admission = time::timeout_at(admitted.deadline, admission).await;
-        if let Ok(Err(after)) = admission {
-            return Err(Refusal::not_run(
-                Code::RateExceeded,
-                format!("account {} is over {}/s", account.name, account.rate),
-            )
-            .retry_after(after));
-        }
-        admission.ok();
+        take_token(shared, account, admitted.deadline).await?;
     }
     attempt::run(shared, &admitted).await
 }
 
+/// Takes a token of a client account. Tokens may be asked of other hosts, which takes some time; where
+/// the deadline passes meanwhile, finding a target ends the request.
+async fn take_token(
+    shared: &Shared,
+    account: &AccountTerms,
+    deadline: Instant,
+) -> Result<(), Refusal> {
+    match time::timeout_at(deadline, shared.steer.admit(&account.name)).await {
+        Ok(Err(after)) => {
+            let detail = format!("account {} is over {}/s", account.name, account.rate);
+            Err(Refusal::not_run(Code::RateExceeded, detail).retry_after(after))
+        }
+        Ok(Ok(())) | Err(_) => Ok(()),
+    }
+}
+
 /// Finds the route and the account of a request.
 fn admit(
     shared: &Shared,
--- a/toucanhoist-edge/src/store.rs
+++ b/toucanhoist-edge/src/store.rs
@@ -11,7 +11,7 @@
     async_trait::async_trait,
     tokio::{
         sync::{mpsc, watch},
-        time::{self, Instant},
+        time,
     },
     toucanhoist_core::{
         id,
@@ -142,14 +142,13 @@
 }
 
 /// Registers an entry host, however long it takes.
-pub async fn register(store: Arc<dyn Store>, name: id::EntryHost, host: EntryHost) -> Duration {
-    let begun = Instant::now();
+pub async fn register(store: Arc<dyn Store>, name: id::EntryHost, host: EntryHost) {
     let mut pause = PAUSE_FIRST;
+    // That the store is away is logged by those who follow it.
     while store.register(&name, &host).await.is_err() {
         time::sleep(pause.mul_f64(rand::random_range(0.75..1.25))).await;
         pause = (pause * 2).min(PAUSE_LAST);
     }
-    begun.elapsed()
 }
 
 fn gather(topic: Topic) -> Duration {
--- a/toucanhoist-edge/src/target.rs
+++ b/toucanhoist-edge/src/target.rs
@@ -157,14 +157,6 @@
         socket::connect(address, CONNECT_MAX).await.is_ok()
     }
 
-    /// Drops the connections to a target that has gone.
-    pub fn forget(&self, address: SocketAddr, target: &id::Target) {
-        let place = (address, target.clone());
-        let mut state = self.shared.state.lock().expect("no holder of the lock panics");
-        state.idle.remove(&place);
-        state.stray_until.remove(&place);
-    }
-
     async fn connection(&self, place: &Place, once: bool) -> Result<Connection, Error> {
         if let Some(idle) = self.take_idle(place, once) {
             return Ok(idle);
