Call what the project had instead of writing it again

Cause: a read of the whole change found logic that stood twice, and one fault by it. The recorder of metrics for `edge` was a copy of the operators' one without its upkeep, so that a histogram's samples piled up until somebody read the metrics. Beside it: removal of a hop's headers, binding a listener, the time of day (three times), the accept loop of small servers, what a full read shows to be removed, the highest version, the host's region.

Change: toucanhoist-edge has recorder, headers, server and clock::unix_ms, and the older host calls them; toucanhoist-store::socket::bind serves both. Registry knows what is missing and its newest version, so fleet.rs loses three loops; Desk::is_near replaces a copy of the regions; Shared::limits stands once. What nothing called is gone.

--- a/src/cli/process.rs
+++ b/src/cli/process.rs
@@ -8,7 +8,6 @@
 
 use {
     clap::ArgMatches,
-    metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
     tokio::{
         runtime,
         signal::unix::{SignalKind, signal},
@@ -30,9 +29,6 @@
 };
 
 const FORCED_EXIT_CODE: i32 = 1;
-/// Upper bounds of the buckets of latencies, in seconds.
-const LATENCY_BUCKETS_S: [f64; 12] =
-    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 5.0];
 
 pub(super) fn serve(matches: &ArgMatches) -> Result<(), Failure> {
     let file = argument(matches, "settings");
@@ -58,7 +54,6 @@
         Failure::failed("no settings: neither --settings nor the platform's variable names a file")
     })?;
     let settings = edge::settings::Settings::read(&file).map_err(Failure::failed)?;
-    let metrics = recorder();
     // One thread: the platform gives a process a part of one core.
     let runtime =
         runtime::Builder::new_current_thread().enable_all().build().map_err(Failure::failed)?;
@@ -68,8 +63,7 @@
         let mut reload = signal(SignalKind::hangup()).map_err(Failure::failed)?;
         let store = Arc::new(toucanhoist_platform::Table::new(settings.store));
         let dialect = toucanhoist_platform::dialect();
-        let mut host =
-            Edge::spawn(settings, dialect, store, metrics).await.map_err(Failure::failed)?;
+        let mut host = Edge::spawn(settings, dialect, store).await.map_err(Failure::failed)?;
         host.set_file(file);
         loop {
             tokio::select! {
@@ -83,16 +77,6 @@
     })
 }
 
-/// Installs the recorder of metrics; `None` if the process has one already.
-fn recorder() -> Option<PrometheusHandle> {
-    let recorder = PrometheusBuilder::new()
-        .set_buckets(&LATENCY_BUCKETS_S)
-        .unwrap_or_default()
-        .build_recorder();
-    let handle = recorder.handle();
-    metrics::set_global_recorder(recorder).is_ok().then_some(handle)
-}
-
 pub(super) fn dev(matches: &ArgMatches) -> Result<(), Failure> {
     let config = Config {
         hosts: matches.get_one("hosts").copied().unwrap_or(3),
--- a/src/host.rs
+++ b/src/host.rs
@@ -12,17 +12,13 @@
 - [`dispatch`] carries one request to a target, here or at another host.
 */
 
-use std::{
-    io,
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, SystemTime},
-};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use {
-    tokio::{net::TcpListener, sync::watch, time},
+    tokio::{sync::watch, time},
     toucanhoist_core::{event::Event, membership::Incarnation},
-    toucanhoist_store::Platform,
+    toucanhoist_edge::clock::unix_ms,
+    toucanhoist_store::{Platform, socket},
 };
 
 pub use toucanhoist_edge::clock::Clock;
@@ -120,9 +116,9 @@
     ///
     /// An address cannot be bound.
     pub async fn spawn(settings: Settings, platform: Arc<dyn Platform>) -> io::Result<Host> {
-        let callers = bind(settings.listen.callers).await?;
-        let operators = bind(settings.listen.operators).await?;
-        let peers = bind(settings.listen.peers).await?;
+        let callers = socket::bind(settings.listen.callers).await?;
+        let operators = socket::bind(settings.listen.operators).await?;
+        let peers = socket::bind(settings.listen.peers).await?;
         let addresses = Addresses {
             callers: callers.local_addr()?,
             operators: operators.local_addr()?,
@@ -202,17 +198,6 @@
     }
 }
 
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
-
-/// Binds a listener; the error names the address.
-async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    let named = |error: io::Error| io::Error::new(error.kind(), format!("{address}: {error}"));
-    TcpListener::bind(address).await.map_err(named)
-}
-
 impl Tasks {
     fn spawn(context: &Context, addresses: Addresses) -> Tasks {
         let peers = peers::spawn(context);
--- a/src/host/fleet.rs
+++ b/src/host/fleet.rs
@@ -19,6 +19,7 @@
         id,
         membership::{self, View},
     },
+    toucanhoist_edge::clock::unix_ms,
     toucanhoist_store::{Error, Write},
 };
 
@@ -205,11 +206,6 @@
         .increment(1);
 }
 
-fn unix_ms() -> u64 {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Position of a configuration in the history, for the log.
 fn lineage(lineage: Lineage) -> String {
     serde_json::to_string(&lineage).unwrap_or_default()
--- a/src/host/fleet/publisher.rs
+++ b/src/host/fleet/publisher.rs
@@ -5,9 +5,10 @@
 use {
     tokio::{sync::watch, task},
     toucanhoist_core::{catalog::Catalog, event::Event, fleet::Fleet, id},
+    toucanhoist_edge::clock::unix_ms,
 };
 
-use super::{Context, count_violation, unix_ms};
+use super::{Context, count_violation};
 
 /// A configuration to be put in force.
 #[derive(Clone, Debug, Default)]
--- a/src/host/fleet/writer.rs
+++ b/src/host/fleet/writer.rs
@@ -13,10 +13,11 @@
         fleet::Fleet,
         id,
     },
+    toucanhoist_edge::clock::unix_ms,
     toucanhoist_store::{Error, ErrorKind, Expect},
 };
 
-use super::{Handle, Input, table, unix_ms};
+use super::{Handle, Input, table};
 
 const ATTEMPTS: u32 = 5;
 const ATTEMPT_PAUSE: Duration = Duration::from_millis(200);
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -2,17 +2,16 @@
 
 use std::{
     io,
-    sync::{Arc, OnceLock},
+    sync::Arc,
     time::{Duration, SystemTime},
 };
 
 use {
     http::{Method, StatusCode, header},
-    metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
     salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, http::ResBody},
     serde::{Deserialize, Serialize},
     serde_json::{Value, json},
-    tokio::{net::TcpListener, time},
+    tokio::net::TcpListener,
     toucanhoist_core::{
         configuration::{
             Delta, Entry,
@@ -24,6 +23,7 @@
         key::Digest,
         quarantine::Word,
     },
+    toucanhoist_edge::recorder,
 };
 
 use super::{
@@ -36,12 +36,6 @@
 
 const BODY_MAX_BYTES: usize = 256 * 1_024 * 1_024;
 
-const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
-const LATENCY_BUCKETS_S: [f64; 12] =
-    [0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0];
-
-static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
-
 /// The operators' listener.
 pub struct Server {
     listener: listener::Server,
@@ -58,7 +52,7 @@
         context: &Context,
         tasks: &Tasks,
     ) -> io::Result<Server> {
-        install_metrics();
+        recorder::install();
         let operators = Operators { context: context.clone(), tasks: tasks.clone() };
         let router = Router::with_path("{**rest}").goal(operators);
         let journal = context.journal.clone();
@@ -73,27 +67,6 @@
     }
 }
 
-/// Installs the process's metrics recorder, once.
-fn install_metrics() {
-    METRICS.get_or_init(|| {
-        let recorder = PrometheusBuilder::new()
-            .set_buckets(&LATENCY_BUCKETS_S)
-            .unwrap_or_default()
-            .build_recorder();
-        let handle = recorder.handle();
-        // Without it, samples pile up until the metrics are read.
-        let upkeep = handle.clone();
-        tokio::spawn(async move {
-            loop {
-                time::sleep(UPKEEP_INTERVAL).await;
-                upkeep.run_upkeep();
-            }
-        });
-        let _ = metrics::set_global_recorder(recorder);
-        handle
-    });
-}
-
 struct Operators {
     context: Context,
     tasks: Tasks,
@@ -190,9 +163,7 @@
         match (&method, path.as_slice()) {
             (&Method::GET, ["metrics"]) => Reply {
                 status: StatusCode::OK,
-                content: Content::Text(
-                    METRICS.get().map(PrometheusHandle::render).unwrap_or_default(),
-                ),
+                content: Content::Text(recorder::install().render()),
             },
             (&Method::GET, ["status"]) => self.status(),
             (&Method::GET, ["explain", id]) => self.explain(id).await,
--- a/toucanhoist-core/src/steering/desk.rs
+++ b/toucanhoist-core/src/steering/desk.rs
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Whether a data centre is in the host's region.
+    pub fn is_near(&self, data_centre: &id::DataCentre) -> bool {
+        self.settings.regions.get(data_centre) == self.region.as_ref()
+    }
+
     /// Returns how many requests this host has at each target, for the other hosts of its region.
     pub fn requests(&self) -> HashMap<Tag, u32> {
         let busy = self.targets.values().filter(|known| known.load.own() > 0);
--- a/toucanhoist-core/src/steering/registry.rs
+++ b/toucanhoist-core/src/steering/registry.rs
@@ -155,9 +155,15 @@
 pub struct Registry {
     entries: BTreeMap<Key, Entry>,
     versions: BTreeMap<Topic, u64>,
+    newest: u64,
 }
 
 impl Registry {
+    /// Returns the highest version of any entry that was offered.
+    pub fn newest(&self) -> u64 {
+        self.newest
+    }
+
     /// Returns the entries.
     pub fn entries(&self) -> impl Iterator<Item = (&Key, &Entry)> {
         self.entries.iter()
@@ -177,6 +183,7 @@
     ///
     /// A configuration never goes back to a lower revision, whatever the versions say.
     pub fn apply(&mut self, key: Key, entry: Entry) -> bool {
+        self.newest = self.newest.max(entry.version);
         if let Some(known) = self.entries.get(&key) {
             if known.version >= entry.version || reverts(known, &entry) {
                 return false;
@@ -192,6 +199,26 @@
         *known = version.max(*known);
     }
 
+    /// Returns what a full read of a topic at `version` shows to have been removed: the entries that it
+    /// does not hold, without value.
+    pub fn missing(
+        &self,
+        topic: Topic,
+        version: u64,
+        entries: &[(Key, Entry)],
+    ) -> Vec<(Key, Entry)> {
+        let present: BTreeSet<&Key> = entries.iter().map(|(key, _)| key).collect();
+        let is_missing = |(key, entry): &(&Key, &Entry)| {
+            key.topic() == topic
+                && **key != Key::Config
+                && entry.value.is_some()
+                && entry.version <= version
+                && !present.contains(key)
+        };
+        let missing = self.entries.iter().filter(is_missing);
+        missing.map(|(key, _)| (key.clone(), Entry { version, value: None })).collect()
+    }
+
     /// Takes in all entries of a topic as they were at `version`; what is missing has been removed.
     /// Returns the keys that changed.
     pub fn replace(
@@ -200,14 +227,10 @@
         version: u64,
         entries: Vec<(Key, Entry)>,
     ) -> BTreeSet<Key> {
-        let present: BTreeSet<Key> = entries.iter().map(|(key, _)| key.clone()).collect();
         let mut changed = BTreeSet::new();
-        for (key, entry) in &mut self.entries {
-            let missing = key.topic() == topic && !present.contains(key);
-            if missing && *key != Key::Config && entry.value.is_some() && entry.version <= version {
-                *entry = Entry { version, value: None };
-                changed.insert(key.clone());
-            }
+        for (key, removed) in self.missing(topic, version, &entries) {
+            self.entries.insert(key.clone(), removed);
+            changed.insert(key);
         }
         for (key, entry) in entries {
             if self.apply(key.clone(), entry) {
--- a/toucanhoist-edge/src/clock.rs
+++ b/toucanhoist-edge/src/clock.rs
@@ -1,4 +1,6 @@
-//! Monotonic clock of a process.
+//! Monotonic clock of a process, and the time of day.
+
+use std::time::SystemTime;
 
 use {tokio::time::Instant, toucanhoist_core::clock::Time};
 
@@ -29,3 +31,9 @@
         self.start + time.since(Time::ZERO)
     }
 }
+
+/// Returns the time of day in milliseconds since the Unix epoch.
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- a/toucanhoist-edge/src/directory.rs
+++ b/toucanhoist-edge/src/directory.rs
@@ -1,23 +1,23 @@
 //! Tells callers which entry hosts to use, and platforms whether this host is ready; serves metrics.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{future, net::SocketAddr, sync::Arc, time::Duration};
 
 use {
-    bytes::Bytes,
     http::{Request, Response, StatusCode, header},
     http_body_util::Full,
-    hyper::{body::Incoming, server::conn::http1, service::service_fn},
-    hyper_util::rt::{TokioIo, TokioTimer},
-    metrics_exporter_prometheus::PrometheusHandle,
+    hyper::body::Incoming,
     serde_json::{Map, Value},
-    tokio::{net::TcpListener, time},
+    tokio::net::TcpListener,
     toucanhoist_core::{
         id,
         membership::{State, View},
     },
 };
 
-use crate::gateway::{Phase, Shared};
+use crate::{
+    gateway::{Phase, Shared},
+    recorder, server,
+};
 
 /// Time for which callers keep an answer, if the fleet's bound is not lower.
 const TTL_MAX: Duration = Duration::from_secs(2);
@@ -26,8 +26,6 @@
 /// Time in which the head of a request must be complete.
 const HEAD_MAX: Duration = Duration::from_secs(5);
 
-type Answer = Response<Full<Bytes>>;
-
 /// Serves the directory.
 pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
     listen(listener, move |request| directory(&shared, request)).await;
@@ -39,9 +37,9 @@
 }
 
 /// Serves the metrics.
-pub async fn serve_metrics(listener: TcpListener, metrics: PrometheusHandle) {
-    listen(listener, move |_| {
-        metrics.run_upkeep();
+pub async fn serve_metrics(listener: TcpListener) {
+    let metrics = recorder::install();
+    listen(listener, |_| {
         let mut answer = Response::new(Full::new(metrics.render().into()));
         let text = http::HeaderValue::from_static("text/plain; version=0.0.4");
         answer.headers_mut().insert(header::CONTENT_TYPE, text);
@@ -52,33 +50,9 @@
 
 async fn listen(
     listener: TcpListener,
-    answer: impl Fn(&Request<Incoming>) -> Answer + Clone + Send + Sync + 'static,
+    answer: impl Fn(&Request<Incoming>) -> server::Answer + Clone + Send + Sync + 'static,
 ) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
-        let answer = answer.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let response = answer(&request);
-                async move { Ok::<_, std::convert::Infallible>(response) }
-            });
-            // A caller that goes away asks again.
-            let _ = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_MAX)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
-}
-
-fn plain(status: StatusCode) -> Answer {
-    let mut answer = Response::new(Full::default());
-    *answer.status_mut() = status;
-    answer
+    server::serve(listener, HEAD_MAX, move |request| future::ready(answer(&request))).await;
 }
 
 /// Whether a host takes new callers.
@@ -86,17 +60,17 @@
     *shared.phase.borrow() == Phase::Serving && shared.fleet.routes().is_some()
 }
 
-fn readiness(shared: &Shared, request: &Request<Incoming>) -> Answer {
+fn readiness(shared: &Shared, request: &Request<Incoming>) -> server::Answer {
     if request.uri().path() != &*shared.dialect.readiness_path {
-        return plain(StatusCode::NOT_FOUND);
+        return server::plain(StatusCode::NOT_FOUND);
     }
-    plain(if is_ready(shared) { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+    server::plain(if is_ready(shared) { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
 }
 
-fn directory(shared: &Shared, request: &Request<Incoming>) -> Answer {
+fn directory(shared: &Shared, request: &Request<Incoming>) -> server::Answer {
     let names = &shared.dialect.directory;
     if request.uri().path() != &*names.path {
-        return plain(StatusCode::NOT_FOUND);
+        return server::plain(StatusCode::NOT_FOUND);
     }
     let query = request.uri().query().unwrap_or_default();
     let region = parameter(query, &names.region).and_then(|region| region.parse().ok());
@@ -107,7 +81,7 @@
     let own = is_ready(shared).then_some(shared.settings.listen.callers);
     let addresses = addresses(shared, region.as_ref(), own);
     if addresses.is_empty() {
-        return plain(StatusCode::SERVICE_UNAVAILABLE);
+        return server::plain(StatusCode::SERVICE_UNAVAILABLE);
     }
     let ttl_s = shared.settings.bounds.directory_ttl_s.min(TTL_MAX).as_secs_f64();
     let mut content = Map::new();
--- a/toucanhoist-edge/src/fleet.rs
+++ b/toucanhoist-edge/src/fleet.rs
@@ -104,11 +104,6 @@
         self.routes.borrow().clone()
     }
 
-    /// Returns what tells of new routes.
-    pub fn watch_routes(&self) -> watch::Receiver<Option<Arc<Routes>>> {
-        self.routes.clone()
-    }
-
     /// Returns the members.
     pub fn view(&self) -> Arc<View> {
         Arc::clone(&self.view.borrow())
@@ -194,7 +189,6 @@
         applied_late: Vec::new(),
         detector,
         registry: Registry::default(),
-        newest: 0,
         lost: BTreeMap::new(),
         lapse_until: Time::ZERO,
         held: Vec::new(),
@@ -219,8 +213,6 @@
     applied_late: Vec<(Key, Entry)>,
     detector: Detector,
     registry: Registry,
-    /// Highest version of any entry.
-    newest: u64,
     /// Topics that the store does not answer for, with the time since then.
     lost: BTreeMap<Topic, Time>,
     lapse_until: Time,
@@ -252,7 +244,7 @@
 
     fn tick(&mut self) {
         let now = self.parts.clock.now();
-        self.detector.set_revision(id::Revision::from(self.newest));
+        self.detector.set_revision(id::Revision::from(self.registry.newest()));
         let sends = self.detector.tick(now);
         self.send(sends);
         self.publish_view(now);
@@ -266,17 +258,16 @@
 
     fn apply_held(&mut self, now: Time) {
         let held = std::mem::take(&mut self.held);
-        let mut changed = BTreeSet::new();
-        for (key, entry) in held {
-            if let Some(key) = self.apply(key, entry.clone()) {
-                self.applied_late.push((key.clone(), entry));
-                changed.insert(key);
-            }
-        }
-        self.publish(now, &changed);
+        let applied = self.apply(held);
+        self.publish(now, &keys(&applied));
+        self.applied_late.extend(applied);
+        self.tell_late();
+    }
+
+    /// Tells of removals that were applied after a hold.
+    fn tell_late(&self) {
         let reach = self.registry.version(Topic::Targets).unwrap_or_default();
-        let late = self.applied_late.clone();
-        self.tell_changes(Topic::Targets, reach, reach, &late);
+        self.tell_changes(Topic::Targets, reach, reach, &self.applied_late);
     }
 
     /// Whether this host tells the others of its region what the store says.
@@ -291,11 +282,8 @@
             return;
         }
         self.told = now;
-        let late = std::mem::take(&mut self.applied_late);
-        if !late.is_empty() {
-            let reach = self.registry.version(Topic::Targets).unwrap_or_default();
-            self.tell_changes(Topic::Targets, reach, reach, &late);
-        }
+        self.tell_late();
+        self.applied_late.clear();
         let versions = self.registry.versions().iter();
         let versions = versions
             .map(|(topic, &version)| TopicVersion { topic: topic.number(), version })
@@ -346,14 +334,11 @@
             metrics::counter!("toucanhoist_datagrams_malformed_total").increment(1);
             return;
         };
-        let mut changed = BTreeSet::new();
-        for (key, entry) in entries {
-            changed.extend(self.apply(key, entry));
-        }
+        let applied = self.apply(entries);
         if self.registry.version(topic).is_some_and(|known| known >= changes.after) {
             self.registry.reach(topic, changes.upto);
         }
-        self.publish(now, &changed);
+        self.publish(now, &keys(&applied));
     }
 
     fn take(&mut self, input: Input) {
@@ -388,20 +373,12 @@
             }
             News::Changed(topic, batch) => {
                 self.regain(now, topic);
-                let mut changed = BTreeSet::new();
-                let mut taken = Vec::new();
-                for (key, entry) in batch.entries {
-                    if self.is_lapse(now, &key, &entry) {
-                        self.held.push((key, entry));
-                    } else if let Some(key) = self.apply(key, entry.clone()) {
-                        taken.push((key.clone(), entry));
-                        changed.insert(key);
-                    }
-                }
+                let entries = self.hold_lapses(now, batch.entries);
+                let applied = self.apply(entries);
                 let after = self.registry.version(topic).unwrap_or_default();
                 self.registry.reach(topic, batch.version);
-                self.tell_changes(topic, after, batch.version, &taken);
-                changed
+                self.tell_changes(topic, after, batch.version, &applied);
+                keys(&applied)
             }
             News::Lost(topic, error) => {
                 if let std::collections::btree_map::Entry::Vacant(lost) = self.lost.entry(topic) {
@@ -429,43 +406,36 @@
         self.parts.journal.note(Event::PlatformUp, &[("topic", &topic), ("away_ms", &away_ms)]);
     }
 
-    /// Whether a removal may be that of a target which could not renew its entry.
-    fn is_lapse(&self, now: Time, key: &Key, entry: &Entry) -> bool {
-        now < self.lapse_until && key.topic() == Topic::Targets && entry.value.is_none()
+    /// Holds the removals that may be those of targets which could not renew their entries; returns the
+    /// other entries.
+    fn hold_lapses(&mut self, now: Time, entries: Vec<(Key, Entry)>) -> Vec<(Key, Entry)> {
+        let is_lapse = |(key, entry): &(Key, Entry)| {
+            now < self.lapse_until && key.topic() == Topic::Targets && entry.value.is_none()
+        };
+        let (lapses, others): (Vec<_>, Vec<_>) = entries.into_iter().partition(is_lapse);
+        self.held.extend(lapses);
+        others
     }
 
     fn replace(&mut self, now: Time, topic: Topic, batch: Batch) -> BTreeSet<Key> {
-        for (_, entry) in &batch.entries {
-            self.newest = self.newest.max(entry.version);
-        }
         if topic != Topic::Targets || now >= self.lapse_until {
             return self.registry.replace(topic, batch.version, batch.entries);
         }
-        let present: BTreeSet<&Key> = batch.entries.iter().map(|(key, _)| key).collect();
-        let missing = self.registry.entries().filter(|(key, entry)| {
-            key.topic() == topic && entry.value.is_some() && !present.contains(key)
-        });
-        let gone: Vec<(Key, Entry)> = missing
-            .filter(|(_, entry)| entry.version <= batch.version)
-            .map(|(key, _)| (key.clone(), Entry { version: batch.version, value: None }))
-            .collect();
-        self.held.extend(gone);
-        let mut changed = BTreeSet::new();
-        for (key, entry) in batch.entries {
-            changed.extend(self.apply(key, entry));
-        }
+        self.held.extend(self.registry.missing(topic, batch.version, &batch.entries));
+        let applied = self.apply(batch.entries);
         self.registry.reach(topic, batch.version);
-        changed
+        keys(&applied)
     }
 
-    fn apply(&mut self, key: Key, entry: Entry) -> Option<Key> {
-        self.newest = self.newest.max(entry.version);
-        self.registry.apply(key.clone(), entry).then_some(key)
+    /// Applies entries; returns those that changed something.
+    fn apply(&mut self, mut entries: Vec<(Key, Entry)>) -> Vec<(Key, Entry)> {
+        entries.retain(|(key, entry)| self.registry.apply(key.clone(), entry.clone()));
+        entries
     }
 
     /// Compares what a host knows with what this one knows.
     fn compare(&mut self, now: Time, message: &Message) {
-        if message.revision.as_u64() <= self.newest {
+        if message.revision.as_u64() <= self.registry.newest() {
             return;
         }
         match &mut self.ahead {
@@ -494,17 +464,8 @@
 
     fn merge(&mut self, now: Time, from: SocketAddr, snapshot: Snapshot) {
         let first = self.routes.borrow().is_none();
-        let mut changed = BTreeSet::new();
-        for (key, entry) in snapshot.entries {
-            if self.is_lapse(now, &key, &entry) {
-                self.held.push((key, entry));
-            } else {
-                changed.extend(self.apply(key, entry));
-            }
-        }
-        for (topic, version) in snapshot.versions {
-            self.registry.reach(topic, version);
-        }
+        let entries = self.hold_lapses(now, snapshot.entries);
+        let changed = self.registry.merge(Snapshot { entries, ..snapshot });
         if first && changed.contains(&Key::Config) {
             self.parts.journal.note(Event::ConfigurationFromPeers, &[("from", &from)]);
         }
@@ -604,3 +565,7 @@
         }
     }
 }
+
+fn keys(entries: &[(Key, Entry)]) -> BTreeSet<Key> {
+    entries.iter().map(|(key, _)| key.clone()).collect()
+}
--- a/toucanhoist-edge/src/gateway.rs
+++ b/toucanhoist-edge/src/gateway.rs
@@ -21,15 +21,14 @@
 };
 
 use crate::{
-    clock::Clock, dialect::Dialect, fleet, journal::Journal, settings::Settings, steer, target,
+    clock::Clock, dialect::Dialect, fleet, journal::Journal, server, settings::Settings, steer,
+    target,
 };
 
 mod answer;
 mod attempt;
 mod request;
 
-/// Pause after a connection could not be accepted, for lack of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time beyond the idle time of the configuration in which a connection is kept.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
@@ -54,6 +53,13 @@
     pub phase: watch::Receiver<Phase>,
 }
 
+impl Shared {
+    /// Returns the limits on what callers send.
+    fn limits(&self) -> Limits {
+        self.fleet.routes().map_or_else(Limits::default, |routes| routes.config().limits)
+    }
+}
+
 /// How far a host has shut down.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Phase {
@@ -77,7 +83,7 @@
                 }
                 Err(error) => {
                     shared.journal.note(Event::AcceptFailed, &[("error", &error)]);
-                    time::sleep(ACCEPT_PAUSE).await;
+                    time::sleep(server::ACCEPT_PAUSE).await;
                 }
             },
             Some(_) = connections.join_next() => {}
@@ -93,7 +99,7 @@
         shared.journal.note(Event::AcceptFailed, &[("error", &error)]);
         return;
     }
-    let limits = shared.fleet.routes().map_or_else(Limits::default, |r| r.config().limits);
+    let limits = shared.limits();
     let mut phase = shared.phase.clone();
     let service = service_fn(move |request| {
         let shared = Arc::clone(&shared);
--- a/toucanhoist-edge/src/gateway/answer.rs
+++ b/toucanhoist-edge/src/gateway/answer.rs
@@ -8,30 +8,17 @@
 
 use {
     bytes::Bytes,
-    http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header},
+    http::{HeaderValue, Response, StatusCode, header},
     http_body::{Frame, SizeHint},
     hyper::body::Incoming,
     serde::Serialize,
     toucanhoist_core::refusal::{Code, Refusal},
 };
 
-use crate::{dialect::Dialect, steer::Lease, target};
+use crate::{dialect::Dialect, headers::strip_hop_by_hop, steer::Lease, target};
 
 const MEDIA_TYPE: &str = "application/problem+json";
 
-/// Headers that concern one connection only.
-pub(super) const HOP_BY_HOP: [HeaderName; 9] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
 /// Body of an answer.
 #[derive(Debug, Default)]
 pub(super) struct Body {
@@ -104,20 +91,6 @@
     response
 }
 
-/// Removes the headers that concern one connection only, those named by `Connection` too.
-pub(super) fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in HOP_BY_HOP.iter().chain(&named) {
-        headers.remove(name);
-    }
-}
-
 #[derive(Serialize)]
 struct Problem<'a> {
     title: &'static str,
--- a/toucanhoist-edge/src/gateway/attempt.rs
+++ b/toucanhoist-edge/src/gateway/attempt.rs
@@ -31,6 +31,7 @@
     request::{Admitted, is_without_body},
 };
 use crate::{
+    headers::strip_hop_by_hop,
     steer::{Input, Lease, Placed},
     target,
 };
@@ -286,7 +287,7 @@
     }
     let headers = built.headers_mut();
     *headers = request.head.headers.clone();
-    answer::strip_hop_by_hop(headers);
+    strip_hop_by_hop(headers);
     headers.remove(header::AUTHORIZATION);
     headers.remove(header::EXPECT);
     headers.remove(&dialect.account);
--- a/toucanhoist-edge/src/gateway/request.rs
+++ b/toucanhoist-edge/src/gateway/request.rs
@@ -13,7 +13,7 @@
         id,
         quarantine::Fingerprint,
         refusal::{Code, Refusal},
-        steering::{AccountTerms, Limits, Route, Routes},
+        steering::{AccountTerms, Route, Routes},
     },
     twox_hash::XxHash64,
 };
@@ -114,7 +114,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Refusal> {
     let (head, body) = request.into_parts();
-    let limits = shared.fleet.routes().map_or_else(Limits::default, |r| r.config().limits);
+    let limits = shared.limits();
     let wait = remaining(shared, &head.headers);
     let until = arrived + wait.unwrap_or(WAIT_DEFAULT);
     let body = read(body, &head.headers, limits.body_bytes, until).await?;
--- a/toucanhoist-edge/src/host.rs
+++ b/toucanhoist-edge/src/host.rs
@@ -3,7 +3,6 @@
 use std::{io, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use {
-    metrics_exporter_prometheus::PrometheusHandle,
     tokio::{
         net::TcpListener,
         sync::{mpsc, watch},
@@ -20,11 +19,11 @@
 };
 
 use crate::{
-    clock::Clock,
+    clock::{self, Clock},
     dialect::Dialect,
     directory, fleet,
     gateway::{self, Phase, Shared},
-    journal::{self, Journal},
+    journal::Journal,
     peers,
     settings::Settings,
     steer,
@@ -77,14 +76,13 @@
         mut settings: Settings,
         dialect: Dialect,
         store: Arc<dyn Store>,
-        metrics: Option<PrometheusHandle>,
     ) -> io::Result<Edge> {
         let listeners = Listeners::bind(&mut settings).await?;
         let addresses = listeners.addresses;
         let settings = Arc::new(settings);
         let journal = Arc::new(Journal::spawn(&settings.name));
         let clock = Clock::start();
-        let started = journal::unix_ms();
+        let started = clock::unix_ms();
         let (steer, decisions) = steer::Handle::new();
         let (phase, phase_read) = watch::channel(Phase::Serving);
         let fleet = fleet::spawn(fleet::Parts {
@@ -120,9 +118,7 @@
         });
         tokio::spawn(directory::serve(listeners.directory, Arc::clone(&shared)));
         tokio::spawn(directory::serve_readiness(listeners.readiness, Arc::clone(&shared)));
-        if let Some(metrics) = metrics {
-            tokio::spawn(directory::serve_metrics(listeners.metrics, metrics));
-        }
+        tokio::spawn(directory::serve_metrics(listeners.metrics));
         let gateway = tokio::spawn(gateway::serve(listeners.callers, Arc::clone(&shared)));
         shared.journal.note(
             Event::Started,
--- a/toucanhoist-edge/src/journal.rs
+++ b/toucanhoist-edge/src/journal.rs
@@ -17,7 +17,7 @@
         mpsc::{self, Receiver, SyncSender},
     },
     thread,
-    time::{Duration, SystemTime},
+    time::Duration,
 };
 
 use toucanhoist_core::{
@@ -25,6 +25,8 @@
     id,
 };
 
+use crate::clock::unix_ms;
+
 /// Lines of one kind in a second, beyond which they are only counted.
 pub const LINES_PER_SECOND: u32 = 200;
 /// Lines that wait to be written.
@@ -151,12 +153,6 @@
     }
 }
 
-/// Returns the time of day in milliseconds since the Unix epoch.
-pub fn unix_ms() -> u64 {
-    let since = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn push(line: &mut String, name: &str, value: &str) {
     let plain = !value.bytes().any(|byte| byte < b' ' || matches!(byte, b'"' | b'\\'));
     let _ = match (plain, value.parse::<f64>()) {
--- a/toucanhoist-edge/src/peers.rs
+++ b/toucanhoist-edge/src/peers.rs
@@ -12,8 +12,8 @@
     bytes::Bytes,
     http::{Request, Response, StatusCode},
     http_body_util::{BodyExt, Full},
-    hyper::{client::conn::http1, server, service::service_fn},
-    hyper_util::rt::{TokioIo, TokioTimer},
+    hyper::client::conn::http1,
+    hyper_util::rt::TokioIo,
     prost::Message as _,
     tokio::{
         net::{TcpListener, UdpSocket},
@@ -24,7 +24,7 @@
     toucanhoist_wire::steering::{Packet, packet},
 };
 
-use crate::fleet;
+use crate::{fleet, server};
 
 /// Largest datagram.
 const DATAGRAM_BYTES: usize = 60_000;
@@ -108,35 +108,17 @@
 
 /// Serves snapshots of the registry to other hosts.
 pub async fn serve(listener: TcpListener, fleet: fleet::Handle) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
-        let fleet = fleet.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |request| answer(fleet.clone(), request));
-            // A peer that goes away asks again.
-            let _ = server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_MAX)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
+    server::serve(listener, HEAD_MAX, move |request| answer(fleet.clone(), request)).await;
 }
 
-async fn answer(
-    fleet: fleet::Handle,
-    request: Request<hyper::body::Incoming>,
-) -> Result<Response<Full<Bytes>>, hyper::http::Error> {
+async fn answer(fleet: fleet::Handle, request: Request<hyper::body::Incoming>) -> server::Answer {
     if request.uri().path() != SNAPSHOT_PATH {
-        return Response::builder().status(StatusCode::NOT_FOUND).body(Full::default());
+        return server::plain(StatusCode::NOT_FOUND);
     }
     let known = request.uri().query().map(versions).unwrap_or_default();
     match fleet.newer(known).await.map(|snapshot| serde_json::to_vec(&snapshot)) {
-        Some(Ok(content)) => Response::builder().body(Full::new(content.into())),
-        _ => Response::builder().status(StatusCode::SERVICE_UNAVAILABLE).body(Full::default()),
+        Some(Ok(content)) => Response::new(Full::new(content.into())),
+        _ => server::plain(StatusCode::SERVICE_UNAVAILABLE),
     }
 }
 
--- /dev/null
+++ b/toucanhoist-edge/src/recorder.rs
@@ -0,0 +1,41 @@
+//! The process's recorder of metrics.
+
+use std::{sync::OnceLock, time::Duration};
+
+use {
+    metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
+    tokio::time,
+};
+
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// Upper bounds of the buckets of latencies, in seconds.
+const LATENCY_BUCKETS_S: [f64; 12] =
+    [0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0];
+
+static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Installs the process's recorder, once, and returns its handle.
+///
+/// # Panics
+///
+/// It is called outside of a runtime for the first time.
+pub fn install() -> &'static PrometheusHandle {
+    METRICS.get_or_init(|| {
+        let recorder = PrometheusBuilder::new()
+            .set_buckets(&LATENCY_BUCKETS_S)
+            .unwrap_or_default()
+            .build_recorder();
+        let handle = recorder.handle();
+        // Without it, samples pile up until the metrics are read.
+        let upkeep = handle.clone();
+        tokio::spawn(async move {
+            loop {
+                time::sleep(UPKEEP_INTERVAL).await;
+                upkeep.run_upkeep();
+            }
+        });
+        // A recorder that was installed elsewhere stays; the handle then renders nothing.
+        let _ = metrics::set_global_recorder(recorder);
+        handle
+    })
+}
--- a/toucanhoist-edge/src/steer.rs
+++ b/toucanhoist-edge/src/steer.rs
@@ -201,9 +201,6 @@
     hosts: BTreeMap<id::EntryHost, EntryHost>,
     /// Addresses of the other hosts of the region.
     neighbours: Vec<SocketAddr>,
-    /// Regions by data centre.
-    regions: BTreeMap<id::DataCentre, id::Region>,
-    region: Option<id::Region>,
     routes: Option<Arc<Routes>>,
     admissions: HashMap<u64, oneshot::Sender<Result<(), Duration>>>,
     next_admission: u64,
@@ -251,8 +248,6 @@
             accounts: HashMap::new(),
             hosts: BTreeMap::new(),
             neighbours: Vec::new(),
-            regions: settings.regions.clone(),
-            region: settings.region().cloned(),
             routes: None,
             admissions: HashMap::new(),
             next_admission: 0,
@@ -488,7 +483,7 @@
 
     fn set_neighbours(&mut self) {
         let near = |(name, host): &(&id::EntryHost, &EntryHost)| {
-            **name != self.host && self.regions.get(&host.data_centre) == self.region.as_ref()
+            **name != self.host && self.desk.is_near(&host.data_centre)
         };
         self.neighbours = self.hosts.iter().filter(near).map(|(_, host)| host.peers).collect();
     }
--- a/toucanhoist-edge/tests/support/mod.rs
+++ b/toucanhoist-edge/tests/support/mod.rs
@@ -329,7 +329,7 @@
 
 pub async fn host(text: &str, store: &Arc<Memory>, seeds: Vec<SocketAddr>) -> Edge {
     let store: Arc<dyn Store> = Arc::clone(store) as _;
-    Edge::spawn(settings(text, seeds), Dialect::default(), store, None).await.expect("a host")
+    Edge::spawn(settings(text, seeds), Dialect::default(), store).await.expect("a host")
 }
 
 /// A host with targets that are known to it.
