Say "not run" where the fence passes before the first byte

When a connection is made in the same turn of the runtime in which the deadline passes, the timer of the answer has elapsed at its first look, before the connection's task could write. The refusal then said that the request may have run, though nothing was sent.

Ruled out: the clock of the fence (the gate refused the write each time), and an idle connection (a request that runs once always gets its own).

Change: the gate is closed by whoever gives up, in one step with the writer: it says whether nothing has gone out and nothing will. A write under way counts as sent.

Test: `a_fence_that_passes_while_connecting_is_not_run` holds the thread so that both are ready in the same turn.

--- a/src/host/target.rs
+++ b/src/host/target.rs
@@ -104,10 +104,13 @@
                         payload.put_back(request.into_body());
                         Err(unreachable(error.into_error()))
                     }
-                    None if !connection.gate.has_sent() => Err(unreachable(error.into_error())),
+                    None if connection.gate.close() => Err(unreachable(error.into_error())),
                     None => Err(failed(error.into_error())),
                 };
             }
+            Err(_) if connection.gate.close() => {
+                return Err(Refusal::not_run(Code::DeadlineExceeded, "before it was sent"));
+            }
             Err(_) => {
                 return Err(Refusal::may_have_run(Code::DeadlineExceeded, "no answer in time"));
             }
--- a/src/host/target/gate.rs
+++ b/src/host/target/gate.rs
@@ -9,7 +9,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU8, AtomicU64, Ordering},
     },
     task::{Context, Poll},
     time::Duration,
@@ -32,9 +32,19 @@
 struct State {
     /// Time up to which the first byte may go out, in microseconds since the start.
     until_micros: AtomicU64,
-    sent: AtomicBool,
+    /// One of the stages below.
+    stage: AtomicU8,
 }
 
+/// Nothing goes out.
+const CLOSED: u8 = 0;
+/// The first byte may go out.
+const OPEN: u8 = 1;
+/// The first write is under way.
+const WRITING: u8 = 2;
+/// A byte has gone out.
+const SENT: u8 = 3;
+
 impl Gate {
     /// Creates a gate that lets nothing out.
     pub(super) fn new() -> Gate {
@@ -44,21 +54,42 @@
     /// Lets the next request out, until `fence` if there is one.
     pub(super) fn open(&self, fence: Option<Instant>) {
         let until = fence.map_or(u64::MAX, |fence| micros(fence.duration_since(self.start)));
-        self.state.sent.store(false, Ordering::SeqCst);
         self.state.until_micros.store(until, Ordering::SeqCst);
+        self.state.stage.store(OPEN, Ordering::SeqCst);
     }
 
-    /// Whether any byte of the request has gone out.
-    pub(super) fn has_sent(&self) -> bool {
-        self.state.sent.load(Ordering::SeqCst)
+    /// Closes the gate before the first byte; returns whether nothing has gone out, and nothing will.
+    pub(super) fn close(&self) -> bool {
+        match self.step(OPEN, CLOSED) {
+            Ok(_) => true,
+            Err(stage) => stage == CLOSED,
+        }
     }
 
-    fn check(&self) -> io::Result<()> {
+    /// Passes a write, unless it is the first and comes too late.
+    fn write(
+        &self,
+        write: impl FnOnce() -> Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        let late = |why| Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, why)));
+        match self.step(OPEN, WRITING) {
+            Ok(_) => {}
+            Err(SENT) => return write(),
+            Err(_) => return late("the request was given up before it went out"),
+        }
         let until = self.state.until_micros.load(Ordering::SeqCst);
-        if self.has_sent() || micros(self.start.elapsed()) < until {
-            return Ok(());
+        if micros(self.start.elapsed()) >= until {
+            self.state.stage.store(CLOSED, Ordering::SeqCst);
+            return late("the fence was reached");
         }
-        Err(io::Error::new(io::ErrorKind::TimedOut, "the fence was reached"))
+        let written = write();
+        let sent = matches!(written, Poll::Ready(Ok(length)) if length > 0);
+        self.state.stage.store(if sent { SENT } else { OPEN }, Ordering::SeqCst);
+        written
+    }
+
+    fn step(&self, from: u8, to: u8) -> Result<u8, u8> {
+        self.state.stage.compare_exchange(from, to, Ordering::SeqCst, Ordering::SeqCst)
     }
 }
 
@@ -96,12 +127,8 @@
         context: &mut Context<'_>,
         content: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.gate.check()?;
-        let written = Pin::new(&mut self.stream).poll_write(context, content);
-        if matches!(written, Poll::Ready(Ok(length)) if length > 0) {
-            self.gate.state.sent.store(true, Ordering::SeqCst);
-        }
-        written
+        let Gated { stream, gate } = &mut *self;
+        gate.write(|| Pin::new(stream).poll_write(context, content))
     }
 
     fn poll_write_vectored(
@@ -109,12 +136,8 @@
         context: &mut Context<'_>,
         contents: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.gate.check()?;
-        let written = Pin::new(&mut self.stream).poll_write_vectored(context, contents);
-        if matches!(written, Poll::Ready(Ok(length)) if length > 0) {
-            self.gate.state.sent.store(true, Ordering::SeqCst);
-        }
-        written
+        let Gated { stream, gate } = &mut *self;
+        gate.write(|| Pin::new(stream).poll_write_vectored(context, contents))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/tests/target.rs
+++ b/tests/target.rs
@@ -5,6 +5,7 @@
     net::SocketAddr,
     slice,
     sync::{Arc, Mutex},
+    thread,
     time::Duration,
 };
 
@@ -162,6 +163,20 @@
     assert!(connections.try_recv().is_err(), "the target got the request");
 }
 
+#[tokio::test]
+async fn a_fence_that_passes_while_connecting_is_not_run() {
+    let (address, mut connections) = target(&[WHOLE]).await;
+    let handle = target::spawn();
+    let head = head(Instant::now() + Duration::from_millis(10), false);
+    // Holds the only thread, so that the connection and the timer are ready in the same turn.
+    let pause = async { thread::sleep(Duration::from_millis(30)) };
+    let (fenced, ()) = tokio::join!(run(&handle, address, &head), pause);
+    let fenced = fenced.expect_err("the fence");
+    assert_eq!(fenced.verdict, Verdict::NotRun, "{fenced}");
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    assert!(connections.try_recv().is_err(), "the target got the request");
+}
+
 #[tokio::test]
 async fn a_submission_has_a_connection_of_its_own() {
     let (address, mut connections) = target(&[WHOLE, SECOND]).await;
