Begin requests behind another early; a fault soak of our own

Their callers send further requests before the first is answered, and the HTTP library takes the requests of a connection one after the other.

Ruled out: slow hosts (99 in 100 sent within 164 ms of being read), targets without the object (3 in 100 in steady state), full targets.

Change: heads are looked at on their way to the HTTP library (`gateway/ahead.rs`, with httparse, which that library uses too); work on a request that may run twice and has no body begins at once, and its answer waits for its turn. The library still reads the request itself, and what was begun is used only if the head is the same. A host that closes first answers what has begun. A caller that leaves is noticed though the library reads no further.

Tests: a target that answers once it has two requests (504 before, both answers in order now); what must not run twice waits; a request inside a body is none; work ends with its connection.

One of its own faults found on the way: two faults that restart the same host at once hung the run.

--- a/src/host/target/gate.rs
+++ b/src/host/target/gate.rs
@@ -67,10 +67,7 @@
     }
 
     /// Passes a write, unless it is the first and comes too late.
-    fn write(
-        &self,
-        write: impl FnOnce() -> Poll<io::Result<usize>>,
-    ) -> Poll<io::Result<usize>> {
+    fn write(&self, write: impl FnOnce() -> Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         let late = |why| Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, why)));
         match self.step(OPEN, WRITING) {
             Ok(_) => {}
--- /dev/null
+++ b/tests/soak/caller.rs
@@ -0,0 +1,140 @@
+//! Callers that keep their connections, whatever happens.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use {
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full},
+    hyper::{Request, client::conn::http1},
+    hyper_util::rt::TokioIo,
+    rand::{RngExt, SeedableRng},
+    rand_xoshiro::Xoshiro256PlusPlus,
+    tokio::{net::TcpStream, time},
+};
+
+use crate::{host::Host, ledger::Ledger};
+
+/// Accounts with their keys.
+pub const ACCOUNTS: [(&str, &str); 2] = [("farm", "key-farm"), ("shop", "key-shop")];
+const WAIT: Duration = Duration::from_millis(1_500);
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// One caller.
+pub struct Caller {
+    pub hosts: Arc<Vec<Host>>,
+    pub ledger: Arc<Ledger>,
+    pub ended: Arc<AtomicBool>,
+    /// Number of the next request, of all callers.
+    pub next: Arc<AtomicU64>,
+    pub seed: u64,
+}
+
+impl Caller {
+    /// Sends one request after the other.
+    pub async fn run(self) {
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(self.seed);
+        let mut connections: Vec<Option<Sender>> = self.hosts.iter().map(|_| None).collect();
+        while !self.ended.load(Ordering::Relaxed) {
+            let host = rng.random_range(0..self.hosts.len());
+            let sender = match connections[host].take().filter(|sender| !sender.is_closed()) {
+                Some(sender) => Some(sender),
+                None => connect(&self.hosts[host]).await,
+            };
+            match sender {
+                Some(sender) => connections[host] = self.exchange(&mut rng, host, sender).await,
+                None => time::sleep(Duration::from_millis(30)).await,
+            }
+            time::sleep(Duration::from_millis(rng.random_range(5..60))).await;
+        }
+    }
+
+    /// Sends a request; returns the connection if it can be used again.
+    async fn exchange(
+        &self,
+        rng: &mut Xoshiro256PlusPlus,
+        host: usize,
+        mut sender: Sender,
+    ) -> Option<Sender> {
+        let id = format!("r{}", self.next.fetch_add(1, Ordering::Relaxed));
+        let once = rng.random_bool(0.5);
+        let (account, key) = ACCOUNTS[rng.random_range(0..ACCOUNTS.len())];
+        let path = if once { "/writes/x" } else { "/reads/x" };
+        let request = Request::builder()
+            .method(if once { "POST" } else { "GET" })
+            .uri(path)
+            .header("host", "soak.example")
+            .header("x-request-id", &id)
+            .header("x-remaining-ms", WAIT.as_millis().to_string())
+            .header("cookie", format!("X-Affinity-Key={}", rng.random_range(0..20)))
+            .header("authorization", format!("Bearer {key}"))
+            .header("x-tenant", "forged")
+            .body(Full::new(Bytes::from_static(if once { b"cut" } else { b"" })))
+            .expect("a request");
+        self.ledger.sent(&id, once, account);
+        sender.ready().await.ok()?;
+        let sending =
+            time::timeout(WAIT + Duration::from_secs(1), sender.try_send_request(request));
+        let response = match sending.await {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) => {
+                if error.message().is_none() {
+                    self.ledger.answered(&id, 0);
+                    self.check_lost(&id, host).await;
+                }
+                return None;
+            }
+            Err(_) => {
+                self.check_silent(&id, host).await;
+                return None;
+            }
+        };
+        let status = response.status().as_u16();
+        let echoed = response.headers().get("x-request-id").is_some_and(|echo| *echo == *id);
+        let body = response.into_body().collect().await.map(|body| body.to_bytes());
+        self.ledger.answered(&id, status);
+        match body {
+            Ok(body) if status == 200 && (body != id || !echoed) => {
+                self.ledger.broken(format!("{id}: got another request's answer {body:?}"));
+            }
+            Ok(_) if matches!(status, 400 | 401 | 404) => {
+                self.ledger.broken(format!("{id}: refused with {status}, though it is allowed"));
+            }
+            Ok(_) => {}
+            Err(_) => self.check_lost(&id, host).await,
+        }
+        Some(sender)
+    }
+
+    /// A host that is not disturbed closes no connection without an answer.
+    async fn check_lost(&self, id: &str, host: usize) {
+        // What disturbed it may be noted a moment later.
+        time::sleep(Duration::from_millis(50)).await;
+        if !self.hosts[host].disturbed.load(Ordering::Relaxed) {
+            self.ledger.broken(format!("{id}: h{host} closed the connection without an answer"));
+        }
+    }
+
+    /// A host that is not disturbed answers before its caller gives up.
+    async fn check_silent(&self, id: &str, host: usize) {
+        if !self.hosts[host].disturbed.load(Ordering::Relaxed) {
+            self.ledger.broken(format!("{id}: h{host} did not answer in time"));
+        }
+    }
+}
+
+async fn connect(host: &Host) -> Option<Sender> {
+    let stream = time::timeout(WAIT, TcpStream::connect(host.callers)).await.ok()?.ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(async move {
+        // How it ends is seen by the request.
+        let _ = connection.await;
+    });
+    Some(sender)
+}
--- /dev/null
+++ b/tests/soak/faults.rs
@@ -0,0 +1,190 @@
+//! Faults in series, which overlap.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use {
+    nix::sys::signal::Signal,
+    rand::{RngExt, SeedableRng},
+    rand_xoshiro::Xoshiro256PlusPlus,
+    tokio::{
+        task::JoinSet,
+        time::{self, Instant},
+    },
+};
+
+use crate::{
+    World, config,
+    host::{Host, ZONES},
+    proxy, store,
+    target::{self, Target},
+};
+
+/// What goes wrong, or is changed.
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    Kill,
+    Terminate,
+    Pause,
+    Hangup,
+    Store(store::Fault),
+    StoreLink(proxy::Fault),
+    TargetLink(proxy::Fault),
+    Target(target::Fault),
+    Replace,
+    Configure,
+    Evacuate,
+}
+
+const KINDS: [Kind; 20] = [
+    Kind::Kill,
+    Kind::Kill,
+    Kind::Terminate,
+    Kind::Terminate,
+    Kind::Pause,
+    Kind::Hangup,
+    Kind::Store(store::Fault::Down),
+    Kind::Store(store::Fault::Slow),
+    Kind::Store(store::Fault::Lost),
+    Kind::Store(store::Fault::Forgotten),
+    Kind::StoreLink(proxy::Fault::Reset),
+    Kind::StoreLink(proxy::Fault::SilentBack),
+    Kind::TargetLink(proxy::Fault::Delayed),
+    Kind::TargetLink(proxy::Fault::Reset),
+    Kind::TargetLink(proxy::Fault::SilentThere),
+    Kind::Target(target::Fault::Slow),
+    Kind::Target(target::Fault::Mute),
+    Kind::Target(target::Fault::Close),
+    Kind::Replace,
+    Kind::Configure,
+];
+/// Kinds beside those, drawn as often as one of them.
+const MORE: [Kind; 3] = [
+    Kind::Target(target::Fault::Failing),
+    Kind::Evacuate,
+    Kind::TargetLink(proxy::Fault::SilentBack),
+];
+
+/// Draws and plays faults.
+pub struct Faults {
+    world: Arc<World>,
+    rng: Xoshiro256PlusPlus,
+    version: Arc<AtomicU64>,
+}
+
+impl Faults {
+    pub fn new(world: Arc<World>, seed: u64) -> Faults {
+        let rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        Faults { world, rng, version: Arc::new(AtomicU64::new(1)) }
+    }
+
+    /// Plays faults for some time, and waits until all have ended.
+    pub async fn run(mut self, time: Duration) {
+        let end = Instant::now() + time;
+        let mut playing = JoinSet::new();
+        while Instant::now() < end {
+            let at = self.rng.random_range(0..KINDS.len() + MORE.len());
+            let kind = KINDS.iter().chain(&MORE).nth(at).copied().expect("a kind");
+            let which = self.rng.random_range(0..1_000);
+            let lasts = Duration::from_millis(self.rng.random_range(200..1_600));
+            let (world, version) = (Arc::clone(&self.world), Arc::clone(&self.version));
+            playing.spawn(async move { play(&world, kind, which, lasts, &version).await });
+            time::sleep(Duration::from_millis(self.rng.random_range(150..800))).await;
+        }
+        while playing.join_next().await.is_some() {}
+    }
+}
+
+async fn play(world: &World, kind: Kind, which: usize, lasts: Duration, version: &AtomicU64) {
+    let host = &world.hosts[which % world.hosts.len()];
+    world.calm.begin();
+    match kind {
+        Kind::Kill => {
+            host.disturbed.store(true, Ordering::Relaxed);
+            host.signal(Signal::SIGKILL).await;
+            time::sleep(lasts).await;
+            host.restart().await;
+        }
+        Kind::Terminate => terminate(world, host, which, lasts).await,
+        Kind::Pause => {
+            host.disturbed.store(true, Ordering::Relaxed);
+            host.signal(Signal::SIGSTOP).await;
+            time::sleep(lasts).await;
+            host.signal(Signal::SIGCONT).await;
+        }
+        Kind::Hangup => host.signal(Signal::SIGHUP).await,
+        Kind::Store(fault) => {
+            world.store.set_fault(fault);
+            time::sleep(lasts).await;
+            world.store.set_fault(store::Fault::None);
+        }
+        Kind::StoreLink(fault) => {
+            host.store.set_fault(fault);
+            time::sleep(lasts).await;
+            host.store.set_fault(proxy::Fault::None);
+        }
+        Kind::TargetLink(fault) => {
+            on_target(world, which, |target| target.proxy.set_fault(fault)).await;
+            time::sleep(lasts).await;
+            on_target(world, which, |target| target.proxy.set_fault(proxy::Fault::None)).await;
+        }
+        Kind::Target(fault) => {
+            on_target(world, which, |target| target.set_fault(fault)).await;
+            time::sleep(lasts).await;
+            on_target(world, which, |target| target.set_fault(target::Fault::None)).await;
+        }
+        Kind::Replace => replace(world, which).await,
+        Kind::Configure => {
+            let version = version.fetch_add(1, Ordering::Relaxed) + 1;
+            world.store.put("op", "config", Some(config(version)));
+        }
+        Kind::Evacuate => {
+            let key = format!("evacuate/{}", ZONES[which % ZONES.len()].0);
+            world.store.put("op", &key, Some(serde_json::json!({})));
+            time::sleep(lasts).await;
+            world.store.put("op", &key, None);
+        }
+    }
+    world.calm.end();
+}
+
+/// Stops a host gracefully, and starts it again.
+async fn terminate(world: &World, host: &Host, which: usize, lasts: Duration) {
+    if !host.is_running().await {
+        return;
+    }
+    host.signal(Signal::SIGTERM).await;
+    let graceful = host.end().await;
+    if !graceful && !host.disturbed.load(Ordering::Relaxed) {
+        let number = which % world.hosts.len();
+        world.ledger.broken(format!("h{number} did not end within its grace"));
+    }
+    time::sleep(lasts).await;
+    host.restart().await;
+}
+
+async fn on_target(world: &World, which: usize, change: impl Fn(&Target)) {
+    let targets = world.targets.lock().await;
+    change(&targets[which % targets.len()]);
+}
+
+/// Replaces a target: the new one starts first, the old one drains.
+async fn replace(world: &World, which: usize) {
+    let number = world.next_target.fetch_add(1, Ordering::Relaxed);
+    let zone = ZONES[which % ZONES.len()].0;
+    let (store, ledger, calm) = (&world.store, &world.ledger, &world.calm);
+    let id = format!("i-{number}");
+    let fresh = Target::spawn(id, "curves", zone, store, ledger, calm).await;
+    let old = {
+        let mut targets = world.targets.lock().await;
+        targets.push(fresh);
+        let at = which % (targets.len() - 1);
+        targets.remove(at)
+    };
+    old.leave().await;
+}
--- /dev/null
+++ b/tests/soak/host.rs
@@ -0,0 +1,142 @@
+//! Entry hosts as processes.
+
+use std::{
+    fs::{self, File},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
+};
+
+use {
+    nix::{
+        sys::signal::{self, Signal},
+        unistd::Pid,
+    },
+    serde_json::json,
+    tokio::{sync::Mutex, time},
+};
+
+use crate::{proxy::Proxy, target::free_address};
+
+/// Time from a signal to stop until the process is killed.
+pub const GRACE: Duration = Duration::from_secs(4);
+/// Data centres with their regions.
+pub const ZONES: [(&str, &str); 3] = [("n1", "north"), ("n2", "north"), ("s1", "south")];
+
+/// An entry host, which is restarted when it ends.
+#[derive(Debug)]
+pub struct Host {
+    pub callers: SocketAddr,
+    /// The way to the store.
+    pub store: Proxy,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Mutex<Child>,
+    /// Whether it was killed, paused or cut off since its last start.
+    pub disturbed: AtomicBool,
+}
+
+/// Addresses that hosts are told of each other.
+pub struct Seeds(pub Vec<SocketAddr>);
+
+impl Host {
+    /// Starts a host in a folder.
+    pub async fn spawn(
+        number: usize,
+        folder: &Path,
+        peers: SocketAddr,
+        seeds: &Seeds,
+        store: SocketAddr,
+    ) -> Host {
+        let store = Proxy::bind(store).await;
+        let callers = free_address().await;
+        let settings = json!({
+            "name": format!("h{number}"),
+            "data_centre": ZONES[number % ZONES.len()].0,
+            "regions": ZONES.iter().map(|(zone, region)| ((*zone).to_owned(), json!(region)))
+                .collect::<serde_json::Map<_, _>>(),
+            "listen": {
+                "callers": callers, "readiness": free_address().await,
+                "directory": free_address().await, "peers": peers,
+                "metrics": free_address().await,
+            },
+            "seeds": seeds.0, "first_start": true, "store": store.address,
+            "bounds": {
+                "grace_s": GRACE.as_secs_f64(), "retry_ratio": 0.2, "retry_extra": 56,
+                "retry_window_s": 10, "cold_factor": 1.5, "cold_extra": 5,
+                "directory_ttl_s": 5, "shift_cap": 0.15,
+            },
+        });
+        let path = folder.join(format!("h{number}.json"));
+        fs::write(&path, settings.to_string()).expect("a file of settings");
+        let log = folder.join(format!("h{number}.log"));
+        let child = Mutex::new(start(&path, &log));
+        Host { callers, store, settings: path, log, child, disturbed: AtomicBool::new(false) }
+    }
+
+    /// Sends a signal.
+    pub async fn signal(&self, signal: Signal) {
+        let child = self.child.lock().await;
+        let id = i32::try_from(child.id()).expect("a process id");
+        // The process may have ended.
+        let _ = signal::kill(Pid::from_raw(id), signal);
+    }
+
+    /// Waits until the process has ended, and kills it if it takes longer than its grace; returns
+    /// whether it ended by itself.
+    pub async fn end(&self) -> bool {
+        for _ in 0..GRACE.as_millis() / 20 {
+            if self.child.lock().await.try_wait().expect("a child").is_some() {
+                return true;
+            }
+            time::sleep(Duration::from_millis(20)).await;
+        }
+        self.signal(Signal::SIGKILL).await;
+        false
+    }
+
+    /// Starts the process again, unless another fault has done so; it has ended, or is about to.
+    pub async fn restart(&self) {
+        let mut child = self.child.lock().await;
+        for _ in 0..50 {
+            if child.try_wait().expect("a child").is_some() {
+                break;
+            }
+            time::sleep(Duration::from_millis(20)).await;
+        }
+        if child.try_wait().expect("a child").is_none() {
+            return;
+        }
+        *child = start(&self.settings, &self.log);
+        self.disturbed.store(false, Ordering::Relaxed);
+    }
+
+    /// Whether the process runs.
+    pub async fn is_running(&self) -> bool {
+        self.child.lock().await.try_wait().expect("a child").is_none()
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        let child = self.child.get_mut();
+        // It may have ended already.
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
+fn start(settings: &Path, log: &Path) -> Child {
+    let log = File::options().create(true).append(true).open(log).expect("a log");
+    Command::new(env!("CARGO_BIN_EXE_toucanhoist"))
+        .arg("edge")
+        .arg("--settings")
+        .arg(settings)
+        .stdout(log.try_clone().expect("a log"))
+        .stderr(log)
+        .stdin(Stdio::null())
+        .spawn()
+        .expect("the program starts")
+}
--- /dev/null
+++ b/tests/soak/store.rs
@@ -0,0 +1,188 @@
+//! A stand-in for the platform's store, with faults on demand.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use {
+    base64::{Engine, prelude::BASE64_STANDARD},
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full},
+    hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::TokioIo,
+    serde_json::{Value, json},
+    tokio::{
+        net::TcpListener,
+        sync::watch,
+        time::{self, Instant},
+    },
+};
+
+/// How the store misbehaves.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fault {
+    #[default]
+    None,
+    /// It answers each call with 503.
+    Down,
+    /// It answers late.
+    Slow,
+    /// It does what it is told, and the answer is lost.
+    Lost,
+    /// It has dropped its history.
+    Forgotten,
+}
+
+#[derive(Debug, Default)]
+struct Rows {
+    /// Version and value by table and key; removed rows have no value.
+    rows: BTreeMap<(String, String), (u64, Option<Value>)>,
+    version: u64,
+}
+
+/// The store.
+#[derive(Debug)]
+pub struct Store {
+    rows: Mutex<Rows>,
+    changed: watch::Sender<u64>,
+    fault: Mutex<Fault>,
+}
+
+impl Store {
+    /// Serves an empty store; returns it with its address.
+    pub async fn serve() -> (Arc<Store>, SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (changed, _) = watch::channel(0);
+        let (rows, fault) = (Mutex::default(), Mutex::default());
+        let store = Arc::new(Store { rows, changed, fault });
+        let served = Arc::clone(&store);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let store = Arc::clone(&served);
+                tokio::spawn(async move {
+                    let service = service_fn(move |request| {
+                        let store = Arc::clone(&store);
+                        async move { store.answer(request).await }
+                    });
+                    // A caller that goes away is no fault of the store.
+                    let _ =
+                        http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                });
+            }
+        });
+        (store, address)
+    }
+
+    /// Sets how the store misbehaves.
+    pub fn set_fault(&self, fault: Fault) {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+    }
+
+    fn fault(&self) -> Fault {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the store answers as it should.
+    pub fn is_sound(&self) -> bool {
+        self.fault() == Fault::None
+    }
+
+    /// Writes a row, or removes it.
+    pub fn put(&self, table: &str, key: &str, value: Option<Value>) {
+        let mut rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
+        rows.version += 1;
+        let version = rows.version;
+        rows.rows.insert((table.into(), key.into()), (version, value));
+        self.changed.send_replace(version);
+    }
+
+    async fn answer(
+        self: Arc<Store>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, std::io::Error> {
+        let (head, body) = request.into_parts();
+        let body = body.collect().await.map_err(std::io::Error::other)?.to_bytes();
+        match self.fault() {
+            Fault::Down => return Ok(plain(503, json!({}))),
+            Fault::Slow => time::sleep(Duration::from_millis(400)).await,
+            Fault::None | Fault::Lost | Fault::Forgotten => {}
+        }
+        let query: BTreeMap<&str, &str> = head
+            .uri
+            .query()
+            .unwrap_or_default()
+            .split('&')
+            .filter_map(|p| p.split_once('='))
+            .collect();
+        let table = query.get("table").copied().unwrap_or_default();
+        let answer = match head.uri.path() {
+            "/rows-get" => plain(200, self.page(table, 0, false)),
+            "/rows-feed" => self.feed(table, &query).await,
+            "/rows-tx" => self.transact(&body),
+            _ => plain(404, json!({})),
+        };
+        if self.fault() == Fault::Lost && head.uri.path() == "/rows-tx" {
+            return Err(std::io::Error::other("lost"));
+        }
+        Ok(answer)
+    }
+
+    fn page(&self, table: &str, after: u64, with_removed: bool) -> Value {
+        let rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut found: Vec<(u64, Value)> = Vec::new();
+        for ((row_table, key), (version, value)) in &rows.rows {
+            if row_table != table || *version <= after || (value.is_none() && !with_removed) {
+                continue;
+            }
+            let text = value.as_ref().map(|value| BASE64_STANDARD.encode(value.to_string()));
+            let row = json!({"table": table, "part": "", "key": key, "objectVersion": version,
+                "value": text, "removed": value.is_none()});
+            found.push((*version, row));
+        }
+        found.sort_by_key(|(version, _)| *version);
+        let found: Vec<Value> = found.into_iter().map(|(_, row)| row).collect();
+        json!({"rows": found, "hasMore": false, "objectVersion": rows.version, "nowS": 0})
+    }
+
+    async fn feed(&self, table: &str, query: &BTreeMap<&str, &str>) -> Response<Full<Bytes>> {
+        let number = |name| query.get(name).and_then(|text| text.parse().ok()).unwrap_or(0);
+        let after: u64 = number("after");
+        if self.fault() == Fault::Forgotten {
+            return plain(410, json!({}));
+        }
+        let end = Instant::now() + Duration::from_millis(number("waitMs"));
+        let mut changed = self.changed.subscribe();
+        loop {
+            changed.borrow_and_update();
+            let page = self.page(table, after, true);
+            let is_empty = page["rows"].as_array().is_none_or(Vec::is_empty);
+            if !is_empty || time::timeout_at(end, changed.changed()).await.is_err() {
+                return plain(200, page);
+            }
+        }
+    }
+
+    fn transact(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        let Ok(transaction) = serde_json::from_slice::<Value>(body) else {
+            return plain(400, json!({}));
+        };
+        for put in transaction["puts"].as_array().into_iter().flatten() {
+            let text = put["value"].as_str().unwrap_or_default();
+            let value = BASE64_STANDARD.decode(text).ok();
+            let value = value.and_then(|value| serde_json::from_slice(&value).ok());
+            let text = |name: &str| put[name].as_str().unwrap_or_default().to_owned();
+            self.put(&text("table"), &text("key"), value);
+        }
+        plain(200, json!({"objectVersion": *self.changed.borrow(), "nowS": 0}))
+    }
+}
+
+fn plain(status: u16, body: Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body.to_string().into()));
+    *response.status_mut() = status.try_into().expect("a status");
+    response
+}
--- /dev/null
+++ b/tests/soak/target.rs
@@ -0,0 +1,210 @@
+//! A target that registers itself, with faults on demand.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use {
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full},
+    hyper::{
+        HeaderMap, Request, Response, body::Incoming, server::conn::http1, service::service_fn,
+    },
+    hyper_util::rt::TokioIo,
+    serde_json::json,
+    tokio::{
+        net::TcpListener,
+        task::JoinHandle,
+        time::{self, Instant},
+    },
+};
+
+use crate::{calm::Calm, ledger::Ledger, proxy::Proxy, store::Store};
+
+const SLOTS: u32 = 6;
+const WORK: Duration = Duration::from_millis(25);
+/// Time after which a target that leaves gets nothing more.
+const DRAIN: Duration = Duration::from_millis(2_500);
+
+/// How a target misbehaves.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fault {
+    #[default]
+    None,
+    /// It takes many times as long.
+    Slow,
+    /// It runs requests and never answers.
+    Mute,
+    /// It runs requests and closes the connection.
+    Close,
+    /// It fails requests.
+    Failing,
+}
+
+/// A target.
+#[derive(Debug)]
+pub struct Target {
+    pub id: String,
+    pub proxy: Proxy,
+    service: &'static str,
+    zone: &'static str,
+    store: Arc<Store>,
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    id: String,
+    ledger: Arc<Ledger>,
+    calm: Arc<Calm>,
+    running: AtomicU32,
+    fault: Mutex<Fault>,
+    /// When the store acknowledged that it leaves.
+    leaves: Mutex<Option<Instant>>,
+    gone: AtomicBool,
+}
+
+impl Target {
+    /// Starts a target and registers it.
+    pub async fn spawn(
+        id: String,
+        service: &'static str,
+        zone: &'static str,
+        store: &Arc<Store>,
+        ledger: &Arc<Ledger>,
+        calm: &Arc<Calm>,
+    ) -> Target {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let proxy = Proxy::bind(listener.local_addr().expect("an address")).await;
+        let shared = Arc::new(Shared {
+            id: id.clone(),
+            ledger: Arc::clone(ledger),
+            calm: Arc::clone(calm),
+            running: AtomicU32::new(0),
+            fault: Mutex::default(),
+            leaves: Mutex::default(),
+            gone: AtomicBool::new(false),
+        });
+        let task = tokio::spawn(serve(listener, Arc::clone(&shared)));
+        let target = Target { id, proxy, service, zone, store: Arc::clone(store), shared, task };
+        target.register("ready");
+        target
+    }
+
+    fn register(&self, state: &str) {
+        let entry = json!({
+            "address": self.proxy.address, "born": 1_700_000_000_000_u64,
+            "info": {"service": self.service, "zone": self.zone, "slots": SLOTS, "version": "v1"},
+            "status": {"state": state, "seq": 1, "coldLeftS": 0.0},
+        });
+        self.store.put("servers", &self.id, Some(entry));
+    }
+
+    /// Sets how it misbehaves.
+    pub fn set_fault(&self, fault: Fault) {
+        *self.shared.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+    }
+
+    /// Leaves: drains, goes on for a while, and ends.
+    pub async fn leave(self) {
+        self.register("draining");
+        *self.shared.leaves.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+        time::sleep(DRAIN + Duration::from_millis(1_500)).await;
+        self.store.put("servers", &self.id, None);
+        self.shared.gone.store(true, Ordering::Relaxed);
+        self.task.abort();
+    }
+}
+
+impl Drop for Target {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let shared = Arc::clone(&shared);
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let shared = Arc::clone(&shared);
+                async move { shared.answer(request).await }
+            });
+            // A host that goes away is no fault of the target.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+impl Shared {
+    async fn answer(
+        self: Arc<Shared>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, io::Error> {
+        let (head, body) = request.into_parts();
+        let id = text(&head.headers, "x-request-id").unwrap_or_default().to_owned();
+        if text(&head.headers, "x-expect-instance").is_none_or(|expected| expected != self.id) {
+            return Ok(self.refusal(421, &id));
+        }
+        // The whole body is read before anything runs.
+        body.collect().await.map_err(io::Error::other)?;
+        if self.running.load(Ordering::Relaxed) >= SLOTS * 2 {
+            return Ok(self.refusal(503, &id));
+        }
+        self.check_leaving(&id);
+        let key = head.headers.contains_key("authorization");
+        self.ledger.ran(&id, text(&head.headers, "x-tenant"), key);
+        self.running.fetch_add(1, Ordering::Relaxed);
+        let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
+        time::sleep(if fault == Fault::Slow { WORK * 20 } else { WORK }).await;
+        self.running.fetch_sub(1, Ordering::Relaxed);
+        match fault {
+            Fault::Mute => std::future::pending().await,
+            Fault::Close => Err(io::Error::other("closed")),
+            Fault::Failing => Ok(self.response(500, &id, "")),
+            Fault::None | Fault::Slow => Ok(self.response(200, &id, &id)),
+        }
+    }
+
+    fn check_leaving(&self, id: &str) {
+        let leaves = *self.leaves.lock().unwrap_or_else(PoisonError::into_inner);
+        let late = leaves.is_some_and(|leaves| leaves.elapsed() > DRAIN);
+        if late && leaves.is_some_and(|leaves| self.calm.was_calm_since(leaves)) {
+            self.ledger.broken(format!("{id}: reached {}, which leaves", self.id));
+        }
+    }
+
+    fn refusal(&self, status: u16, id: &str) -> Response<Full<Bytes>> {
+        let mut refusal = self.response(status, id, "");
+        refusal.headers_mut().insert("x-not-executed", "1".parse().expect("a value"));
+        refusal
+    }
+
+    fn response(&self, status: u16, id: &str, body: &str) -> Response<Full<Bytes>> {
+        let running = self.running.load(Ordering::Relaxed);
+        Response::builder()
+            .status(status)
+            .header("x-request-id", id)
+            .header("x-server-seal", &self.id)
+            .header("x-server-load", format!("{},0,{SLOTS}", running.min(SLOTS)))
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .expect("a response")
+    }
+}
+
+/// Returns an address that nothing listens on.
+pub async fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    listener.local_addr().expect("an address")
+}
--- a/toucanhoist-core/src/steering/work.rs
+++ b/toucanhoist-core/src/steering/work.rs
@@ -5,8 +5,8 @@
 /// Weight of a new time in the learned one.
 const WEIGHT: f64 = 0.08;
 /// Part of the objective that a request takes, until times have been learned.
-const FIRST_FRESH: f64 = 1.3;
-const FIRST_RECENT: f64 = 0.5;
+const FIRST_FRESH: f64 = 1.5;
+const FIRST_RECENT: f64 = 0.45;
 /// Objective of a route that states none.
 const OBJECTIVE: Duration = Duration::from_millis(500);
 
--- a/toucanhoist-edge/src/gateway.rs
+++ b/toucanhoist-edge/src/gateway.rs
@@ -2,7 +2,8 @@
 The callers' listener.
 
 [`serve`] accepts connections; [`request`] carries one request from its head to its answer, through
-[`attempt`]s at targets. Refusals are made in [`answer`].
+[`attempt`]s at targets. [`ahead`] begins requests that are sent behind another. Refusals are made in
+[`answer`].
 */
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
@@ -25,6 +26,7 @@
     target,
 };
 
+mod ahead;
 mod answer;
 mod attempt;
 mod request;
@@ -32,6 +34,9 @@
 /// Time beyond the idle time of the configuration in which a connection is kept.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
+/// Interval at which a host that closes looks whether what has begun is answered.
+const BEGUN_INTERVAL: Duration = Duration::from_millis(20);
+
 /// What the requests of a host share.
 #[derive(Debug)]
 pub struct Shared {
@@ -87,7 +92,7 @@
                 }
             },
             Some(_) = connections.join_next() => {}
-            () = closing(&mut phase) => break,
+            () = closed(&mut phase) => break,
         }
     }
     drop(listener);
@@ -101,9 +106,13 @@
     }
     let limits = shared.limits();
     let mut phase = shared.phase.clone();
+    let ahead = request::look_ahead(&shared);
+    let socket = Arc::new(stream);
+    let stream = ahead::Stream::new(Arc::clone(&socket), Arc::clone(&ahead));
+    let begun = Arc::clone(&ahead);
     let service = service_fn(move |request| {
-        let shared = Arc::clone(&shared);
-        async move { Ok::<_, Infallible>(request::handle(&shared, request).await) }
+        let (shared, ahead) = (Arc::clone(&shared), Arc::clone(&ahead));
+        async move { Ok::<_, Infallible>(request::handle(&shared, &ahead, request).await) }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -113,14 +122,24 @@
     tokio::select! {
         // A caller that goes away has nothing more to be told.
         _ = connection.as_mut() => return,
-        () = closing(&mut phase) => {}
+        () = ahead::caller_left(&socket, &begun) => return,
+        // What has begun is answered before the connection closes.
+        () = closing(&mut phase, &begun) => {}
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
 
 /// Waits until the host closes.
-async fn closing(phase: &mut watch::Receiver<Phase>) {
+async fn closed(phase: &mut watch::Receiver<Phase>) {
     // A host that is gone is closed.
     let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
 }
+
+/// Waits until the host closes, and no request of a connection has begun that waits for its turn.
+async fn closing(phase: &mut watch::Receiver<Phase>, ahead: &ahead::Ahead) {
+    closed(phase).await;
+    while ahead.has_begun() {
+        time::sleep(BEGUN_INTERVAL).await;
+    }
+}
--- a/toucanhoist-edge/src/gateway/request.rs
+++ b/toucanhoist-edge/src/gateway/request.rs
@@ -20,6 +20,7 @@
 
 use super::{
     Phase, Shared,
+    ahead::Ahead,
     answer::{self, Body},
     attempt,
 };
@@ -57,14 +58,51 @@
     pub deadline: Instant,
 }
 
+/// Returns what begins requests of a connection early that are sent behind another.
+pub(super) fn look_ahead(shared: &Arc<Shared>) -> Arc<Ahead> {
+    let shared = Arc::clone(shared);
+    Ahead::new(move |head| {
+        let routes = shared.fleet.routes()?;
+        let host = head.headers.get(header::HOST)?.to_str().ok()?;
+        let is_repeatable = routes.route(host, head.uri.path())?.repeatable;
+        if !is_repeatable || *shared.phase.borrow() != Phase::Serving {
+            return None;
+        }
+        let (shared, head) = (Arc::clone(&shared), head.clone());
+        Some(tokio::spawn(async move { respond(&shared, head, None).await }))
+    })
+}
+
 /// Handles one request.
-pub(super) async fn handle(shared: &Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+pub(super) async fn handle(
+    shared: &Arc<Shared>,
+    ahead: &Ahead,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let mut response = match ahead.take(&head) {
+        Some(early) => early.answer().await.unwrap_or_else(|| {
+            let refusal = Refusal::may_have_run(Code::TargetFailed, "the work on it broke down");
+            answer::of_refusal(&identifier(shared, &head.headers), &refusal, &shared.dialect)
+        }),
+        None => respond(shared, head, Some(body)).await,
+    };
+    ahead.done();
+    // A connection does not close before what has begun is answered.
+    if *shared.phase.borrow() != Phase::Serving && !ahead.has_begun() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Returns the answer to a request, which may be a refusal.
+async fn respond(shared: &Arc<Shared>, head: Parts, body: Option<Incoming>) -> Response<Body> {
     let arrived = Instant::now();
-    let id = identifier(shared, request.headers());
+    let id = identifier(shared, &head.headers);
     let mut watch = Watch { shared, id: &id, arrived, open: true };
-    let outcome = carry(shared, &id, arrived, request).await;
+    let outcome = carry(shared, &id, arrived, head, body).await;
     watch.open = false;
-    let mut response = match outcome {
+    match outcome {
         Ok(response) => response,
         Err(refusal) => {
             shared.journal.record_failure(
@@ -82,11 +120,7 @@
                 .increment(1);
             answer::of_refusal(&id, &refusal, &shared.dialect)
         }
-    };
-    if *shared.phase.borrow() != Phase::Serving {
-        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    response
 }
 
 /// Notes a request that ended because its caller went away.
@@ -111,13 +145,16 @@
     shared: &Arc<Shared>,
     id: &str,
     arrived: Instant,
-    request: Request<Incoming>,
+    head: Parts,
+    body: Option<Incoming>,
 ) -> Result<Response<Body>, Refusal> {
-    let (head, body) = request.into_parts();
     let limits = shared.limits();
     let wait = remaining(shared, &head.headers);
     let until = arrived + wait.unwrap_or(WAIT_DEFAULT);
-    let body = read(body, &head.headers, limits.body_bytes, until).await?;
+    let body = match body {
+        Some(body) => read(body, &head.headers, limits.body_bytes, until).await?,
+        None => Bytes::new(),
+    };
     let Some(routes) = shared.fleet.routes() else {
         return Err(Refusal::not_run(Code::NotReady, "no configuration has arrived")
             .retry_after(NOT_READY_RETRY));
--- a/toucanhoist-edge/tests/edge.rs
+++ b/toucanhoist-edge/tests/edge.rs
@@ -305,3 +305,77 @@
     let alive = Arc::new(get(edge.addresses().callers, "/safe/a", "r-1").await);
     assert_eq!(alive.0, 200);
 }
+
+/// Sends two requests at once on one connection; returns the bodies of the answers in their order.
+async fn pipeline(address: std::net::SocketAddr, requests: [&str; 2]) -> Vec<(u16, String)> {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(requests.concat().as_bytes()).await.expect("requests");
+    let mut answers = Vec::new();
+    for _ in requests {
+        let (head, body) = read(&mut stream).await.expect("an answer");
+        answers.push((status(&head), body));
+    }
+    answers
+}
+
+fn get_text(path: &str, id: &str) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nhost: site.example\r\ntoucanhoist-request-id: {id}\r\n\
+         toucanhoist-remaining-ms: 5000\r\nauthorization: Bearer {KEY}\r\n\r\n"
+    )
+}
+
+#[tokio::test]
+async fn a_request_behind_another_is_sent_before_that_is_answered() {
+    let target = FakeTarget::spawn(Manner::Answer).await;
+    let (edge, _store) = site(&[("t1", &target)]).await;
+    target.set(Manner::AwaitTwo);
+    let (first, second) = (get_text("/safe/1", "r-1"), get_text("/safe/2", "r-2"));
+    let answers = pipeline(edge.addresses().callers, [&first, &second]).await;
+    assert_eq!(answers, [(200, "/safe/1".to_owned()), (200, "/safe/2".to_owned())]);
+}
+
+#[tokio::test]
+async fn a_request_that_must_not_run_twice_waits_for_its_turn() {
+    let target = FakeTarget::spawn(Manner::Answer).await;
+    let (edge, _store) = site(&[("t1", &target)]).await;
+    target.set(Manner::Hang);
+    let mut stream = TcpStream::connect(edge.addresses().callers).await.expect("a connection");
+    let text = get_text("/safe/1", "r-1") + &get_text("/once/2", "r-2");
+    stream.write_all(text.as_bytes()).await.expect("requests");
+    time::sleep(Duration::from_millis(200)).await;
+    assert!(!target.last().contains("/once/"), "{}", target.last());
+}
+
+#[tokio::test]
+async fn what_looks_like_a_request_in_a_body_is_none() {
+    let target = FakeTarget::spawn(Manner::Answer).await;
+    let (edge, _store) = site(&[("t1", &target)]).await;
+    let inner = get_text("/safe/smuggled", "r-3");
+    let first = request("POST", "/once/1", "r-1", Some(KEY), &inner);
+    let second = get_text("/safe/2", "r-2");
+    let answers = pipeline(edge.addresses().callers, [&first, &second]).await;
+    assert_eq!(answers, [(200, "/once/1".to_owned()), (200, "/safe/2".to_owned())]);
+    let sent = target.requests.lock().expect("no panic").clone();
+    assert!(!sent.iter().any(|request| request.starts_with("GET /safe/smuggled")), "{sent:?}");
+}
+
+#[tokio::test]
+async fn a_request_behind_another_ends_with_its_connection() {
+    let target = FakeTarget::spawn(Manner::Answer).await;
+    let (edge, _store) = site(&[("t1", &target)]).await;
+    target.set(Manner::Hang);
+    let mut stream = TcpStream::connect(edge.addresses().callers).await.expect("a connection");
+    let text = get_text("/safe/1", "r-1") + &get_text("/safe/2", "r-2");
+    stream.write_all(text.as_bytes()).await.expect("requests");
+    while !target.last().contains("/safe/2") {
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    drop(stream);
+    // Places come back, so that later requests are served.
+    target.set(Manner::Answer);
+    for number in 0..8 {
+        let answer = get(edge.addresses().callers, "/safe/3", &format!("r-{number}")).await;
+        assert_eq!(answer.0, 200);
+    }
+}
--- a/toucanhoist-edge/tests/support/mod.rs
+++ b/toucanhoist-edge/tests/support/mod.rs
@@ -146,6 +146,8 @@
     Truncate,
     /// Says that it is another target.
     Misdirect,
+    /// Answers once it has been sent two requests.
+    AwaitTwo,
 }
 
 /// A target on loopback.
@@ -200,10 +202,13 @@
                 body.len()
             )
         };
+        while manner == Manner::AwaitTwo && two_are_missing(&requests) {
+            time::sleep(Duration::from_millis(5)).await;
+        }
         let path = head.split(' ').nth(1).unwrap_or_default();
         let whole = answer("200 OK", &id, "", path);
         let text = match manner {
-            Manner::Answer => whole,
+            Manner::Answer | Manner::AwaitTwo => whole,
             Manner::Shed => {
                 answer("503 Service Unavailable", &id, "toucanhoist-not-run: 1\r\n", "")
             }
@@ -222,6 +227,13 @@
     }
 }
 
+/// Whether fewer than two requests with an identifier of a test have come.
+fn two_are_missing(requests: &Mutex<Vec<String>>) -> bool {
+    let requests = requests.lock().expect("no panic");
+    let counted = requests.iter().filter(|request| !request.contains("/open/ready"));
+    counted.count() < 2
+}
+
 /// Reads a request or an answer with its body; `None` at the end of the connection.
 pub async fn read(stream: &mut TcpStream) -> Option<(String, String)> {
     let mut bytes = Vec::new();
