Soak: lose all hosts after a change; ports at addresses of their own

The first run with it found two faults of the soak itself: a host got one port twice (peers and metrics), so it never started, and a host that was restarted at once counted as undisturbed while its callers still saw the kill.

Hosts have loopback addresses of their own, with ports found together. Callers compare how often a host was disturbed before and after a request.

--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -78,6 +78,7 @@
             .body(Full::new(Bytes::from_static(if once { b"cut" } else { b"" })))
             .expect("a request");
         self.ledger.sent(&id, once, account);
+        let disturbed = self.hosts[host].disturbed();
         sender.ready().await.ok()?;
         let sending =
             time::timeout(WAIT + Duration::from_secs(1), sender.try_send_request(request));
@@ -86,12 +87,12 @@
             Ok(Err(error)) => {
                 if error.message().is_none() {
                     self.ledger.answered(&id, 0);
-                    self.check_lost(&id, host).await;
+                    self.check_lost(&id, host, disturbed).await;
                 }
                 return None;
             }
             Err(_) => {
-                self.check_silent(&id, host).await;
+                self.check_silent(&id, host, disturbed);
                 return None;
             }
         };
@@ -107,28 +108,43 @@
                 self.ledger.broken(format!("{id}: refused with {status}, though it is allowed"));
             }
             Ok(_) => {}
-            Err(_) => self.check_lost(&id, host).await,
+            Err(_) => self.check_lost(&id, host, disturbed).await,
         }
         Some(sender)
     }
 
     /// A host that is not disturbed closes no connection without an answer.
-    async fn check_lost(&self, id: &str, host: usize) {
+    async fn check_lost(&self, id: &str, host: usize, disturbed: u32) {
         // What disturbed it may be noted a moment later.
         time::sleep(Duration::from_millis(50)).await;
-        if !self.hosts[host].disturbed.load(Ordering::Relaxed) {
+        if self.hosts[host].disturbed() == disturbed {
             self.ledger.broken(format!("{id}: h{host} closed the connection without an answer"));
         }
     }
 
     /// A host that is not disturbed answers before its caller gives up.
-    async fn check_silent(&self, id: &str, host: usize) {
-        if !self.hosts[host].disturbed.load(Ordering::Relaxed) {
+    fn check_silent(&self, id: &str, host: usize, disturbed: u32) {
+        if self.hosts[host].disturbed() == disturbed {
             self.ledger.broken(format!("{id}: h{host} did not answer in time"));
         }
     }
 }
 
+/// Returns the status that a host gives for a path, on a connection of its own; `None` without an answer.
+pub async fn probe(host: &Host, path: &str) -> Option<u16> {
+    let mut sender = connect(host).await?;
+    let request = Request::builder()
+        .uri(path)
+        .header("host", "soak.example")
+        .header("x-request-id", "probe")
+        .header("x-remaining-ms", "1000")
+        .header("authorization", format!("Bearer {}", ACCOUNTS[0].1))
+        .body(Full::default())
+        .expect("a request");
+    let sending = time::timeout(WAIT, sender.send_request(request));
+    Some(sending.await.ok()?.ok()?.status().as_u16())
+}
+
 async fn connect(host: &Host) -> Option<Sender> {
     let stream = time::timeout(WAIT, TcpStream::connect(host.callers)).await.ok()?.ok()?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -83,8 +83,9 @@
         Faults { world, rng, version: Arc::new(AtomicU64::new(1)) }
     }
 
-    /// Plays faults for some time, and waits until all have ended.
-    pub async fn run(mut self, time: Duration) {
+    /// Plays faults for some time, and waits until all have ended; returns the last version of the
+    /// configuration.
+    pub async fn run(mut self, time: Duration) -> u64 {
         let end = Instant::now() + time;
         let mut playing = JoinSet::new();
         while Instant::now() < end {
@@ -97,6 +98,7 @@
             time::sleep(Duration::from_millis(self.rng.random_range(150..800))).await;
         }
         while playing.join_next().await.is_some() {}
+        self.version.load(Ordering::Relaxed)
     }
 }
 
@@ -105,17 +107,18 @@
     world.calm.begin();
     match kind {
         Kind::Kill => {
-            host.disturbed.store(true, Ordering::Relaxed);
+            host.disturb();
             host.signal(Signal::SIGKILL).await;
             time::sleep(lasts).await;
             host.restart().await;
         }
         Kind::Terminate => terminate(world, host, which, lasts).await,
         Kind::Pause => {
-            host.disturbed.store(true, Ordering::Relaxed);
+            host.disturb();
             host.signal(Signal::SIGSTOP).await;
             time::sleep(lasts).await;
             host.signal(Signal::SIGCONT).await;
+            host.disturb();
         }
         Kind::Hangup => host.signal(Signal::SIGHUP).await,
         Kind::Store(fault) => {
@@ -158,9 +161,10 @@
     if !host.is_running().await {
         return;
     }
+    let disturbed = host.disturbed();
     host.signal(Signal::SIGTERM).await;
     let graceful = host.end().await;
-    if !graceful && !host.disturbed.load(Ordering::Relaxed) {
+    if !graceful && host.disturbed() == disturbed {
         let number = which % world.hosts.len();
         world.ledger.broken(format!("h{number} did not end within its grace"));
     }
--- a/tests/soak/host.rs
+++ b/tests/soak/host.rs
@@ -2,10 +2,10 @@
 
 use std::{
     fs::{self, File},
-    net::SocketAddr,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
-    sync::atomic::{AtomicBool, Ordering},
+    process::{self, Child, Command, Stdio},
+    sync::atomic::{AtomicU8, AtomicU32, Ordering},
     time::Duration,
 };
 
@@ -15,10 +15,10 @@
         unistd::Pid,
     },
     serde_json::json,
-    tokio::{sync::Mutex, time},
+    tokio::{net::TcpListener, sync::Mutex, time},
 };
 
-use crate::{proxy::Proxy, target::free_address};
+use crate::proxy::Proxy;
 
 /// Time from a signal to stop until the process is killed.
 pub const GRACE: Duration = Duration::from_secs(4);
@@ -34,35 +34,62 @@
     settings: PathBuf,
     log: PathBuf,
     child: Mutex<Child>,
-    /// Whether it was killed, paused or cut off since its last start.
-    pub disturbed: AtomicBool,
+    /// Times that it was killed or paused.
+    disturbed: AtomicU32,
 }
 
-/// Addresses that hosts are told of each other.
-pub struct Seeds(pub Vec<SocketAddr>);
+/// Addresses of one host, which nothing listens on.
+#[derive(Debug)]
+pub struct Place {
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    pub directory: SocketAddr,
+    pub peers: SocketAddr,
+    pub metrics: SocketAddr,
+}
+
+impl Place {
+    /// Finds ports at a loopback address that no other host, and no connection, uses.
+    pub async fn find() -> Place {
+        static NEXT: AtomicU8 = AtomicU8::new(1);
+        let [.., high, low] = process::id().to_be_bytes();
+        let last = NEXT.fetch_add(1, Ordering::Relaxed);
+        let own = IpAddr::V4(Ipv4Addr::new(127, high | 0x80, low, last));
+        let mut listeners = Vec::new();
+        for _ in 0..5 {
+            listeners.push(TcpListener::bind((own, 0)).await.expect("a port"));
+        }
+        let address = |at: usize| listeners[at].local_addr().expect("an address");
+        Place {
+            callers: address(0),
+            readiness: address(1),
+            directory: address(2),
+            peers: address(3),
+            metrics: address(4),
+        }
+    }
+}
 
 impl Host {
     /// Starts a host in a folder.
     pub async fn spawn(
         number: usize,
         folder: &Path,
-        peers: SocketAddr,
-        seeds: &Seeds,
+        place: &Place,
+        seeds: &[SocketAddr],
         store: SocketAddr,
     ) -> Host {
         let store = Proxy::bind(store).await;
-        let callers = free_address().await;
         let settings = json!({
             "name": format!("h{number}"),
             "data_centre": ZONES[number % ZONES.len()].0,
             "regions": ZONES.iter().map(|(zone, region)| ((*zone).to_owned(), json!(region)))
                 .collect::<serde_json::Map<_, _>>(),
             "listen": {
-                "callers": callers, "readiness": free_address().await,
-                "directory": free_address().await, "peers": peers,
-                "metrics": free_address().await,
+                "callers": place.callers, "readiness": place.readiness,
+                "directory": place.directory, "peers": place.peers, "metrics": place.metrics,
             },
-            "seeds": seeds.0, "first_start": true, "store": store.address,
+            "seeds": seeds, "first_start": true, "store": store.address,
             "bounds": {
                 "grace_s": GRACE.as_secs_f64(), "retry_ratio": 0.2, "retry_extra": 56,
                 "retry_window_s": 10, "cold_factor": 1.5, "cold_extra": 5,
@@ -73,7 +100,18 @@
         fs::write(&path, settings.to_string()).expect("a file of settings");
         let log = folder.join(format!("h{number}.log"));
         let child = Mutex::new(start(&path, &log));
-        Host { callers, store, settings: path, log, child, disturbed: AtomicBool::new(false) }
+        let (callers, disturbed) = (place.callers, AtomicU32::new(0));
+        Host { callers, store, settings: path, log, child, disturbed }
+    }
+
+    /// Notes that it is killed or paused, or goes on after that.
+    pub fn disturb(&self) {
+        self.disturbed.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns how often it was disturbed.
+    pub fn disturbed(&self) -> u32 {
+        self.disturbed.load(Ordering::Relaxed)
     }
 
     /// Sends a signal.
@@ -110,7 +148,6 @@
             return;
         }
         *child = start(&self.settings, &self.log);
-        self.disturbed.store(false, Ordering::Relaxed);
     }
 
     /// Whether the process runs.
--- a/tests/soak/ledger.rs
+++ b/tests/soak/ledger.rs
@@ -62,7 +62,10 @@
         let mut state = self.state();
         let State { requests, runs, broken, .. } = &mut *state;
         let Some(request) = requests.get_mut(id) else {
-            return broken.push(format!("{id}: no caller sent what ran"));
+            if id != "probe" {
+                broken.push(format!("{id}: no caller sent what ran"));
+            }
+            return;
         };
         request.runs += 1;
         if request.once && request.runs > 1 {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -20,6 +20,7 @@
 };
 
 use {
+    nix::sys::signal::Signal,
     rstest::rstest,
     serde_json::{Value, json},
     tokio::{sync::Mutex, task::JoinSet, time},
@@ -29,10 +30,10 @@
     caller::{ACCOUNTS, Caller},
     calm::Calm,
     faults::Faults,
-    host::{Host, Seeds, ZONES},
+    host::{Host, Place, ZONES},
     ledger::{BURST, Ledger, RATE},
     store::Store,
-    target::{Target, free_address},
+    target::Target,
 };
 
 mod caller;
@@ -49,8 +50,10 @@
 const CALLERS: u64 = 10;
 /// Time in which faults come, and time without any before the recovery is looked at.
 const TROUBLE: Duration = Duration::from_secs(7);
-const SETTLE: Duration = Duration::from_secs(5);
+const SETTLE: Duration = Duration::from_secs(4);
 const RECOVERED: Duration = Duration::from_secs(1);
+/// Time in which all hosts are back and know the newest configuration: the users' bound.
+const RECOVERY_MAX: Duration = Duration::from_secs(15);
 /// Part of the answers after the recovery that must be neither failures nor refusals for room.
 const SERVED_PART: f64 = 0.9;
 /// Longest time until the first request is served.
@@ -94,14 +97,14 @@
         let id = format!("i-{number}");
         targets.push(Target::spawn(id, "curves", zone, &store, &ledger, &calm).await);
     }
-    let mut peers: Vec<SocketAddr> = Vec::new();
+    let mut places = Vec::new();
     for _ in 0..HOSTS {
-        peers.push(free_address().await);
+        places.push(Place::find().await);
     }
-    let seeds = Seeds(peers.clone());
+    let seeds: Vec<SocketAddr> = places.iter().map(|place| place.peers).collect();
     let mut hosts = Vec::new();
-    for (number, peers) in peers.into_iter().enumerate() {
-        hosts.push(Host::spawn(number, folder, peers, &seeds, address).await);
+    for (number, place) in places.iter().enumerate() {
+        hosts.push(Host::spawn(number, folder, place, &seeds, address).await);
     }
     let next_target = AtomicU64::new(100);
     let (hosts, targets) = (Arc::new(hosts), Mutex::new(targets));
@@ -125,7 +128,11 @@
     if time::timeout(START_MAX, served(&world)).await.is_err() {
         broken.push("nothing was served".to_owned());
     }
-    Faults::new(Arc::clone(&world), seed).run(TROUBLE).await;
+    let version = Faults::new(Arc::clone(&world), seed).run(TROUBLE).await;
+    lose_all_hosts(&world, version + 1).await;
+    if time::timeout(RECOVERY_MAX, in_force(&world, version + 1)).await.is_err() {
+        broken.push("a configuration that was accepted before all hosts ended is lost".to_owned());
+    }
     time::sleep(SETTLE).await;
     let before = world.ledger.answers();
     time::sleep(RECOVERED).await;
@@ -149,6 +156,27 @@
     broken
 }
 
+/// Accepts a configuration, and kills all hosts at once.
+async fn lose_all_hosts(world: &World, version: u64) {
+    world.store.put("op", "config", Some(config(version)));
+    for host in world.hosts.iter() {
+        host.disturb();
+        host.signal(Signal::SIGKILL).await;
+    }
+    for host in world.hosts.iter() {
+        host.restart().await;
+    }
+}
+
+/// Waits until every host serves the route that a configuration brought.
+async fn in_force(world: &World, version: u64) {
+    for host in world.hosts.iter() {
+        while caller::probe(host, &format!("/idle{version}/x")).await != Some(200) {
+            time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
 async fn served(world: &World) {
     while !world.ledger.answers().contains_key(&200) {
         time::sleep(Duration::from_millis(50)).await;
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -2,7 +2,6 @@
 
 use std::{
     io,
-    net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicU32, Ordering},
@@ -202,9 +201,3 @@
             .expect("a response")
     }
 }
-
-/// Returns an address that nothing listens on.
-pub async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    listener.local_addr().expect("an address")
-}
