Ask hosts of the own region first, and only for what stays out

Ruled out: requests (73,000 of some 2 KB, a third of them between regions).

Change: `steering/catch_up.rs`: what has arrived is not asked for; a host of the region is asked after 0.4 s, one of another only after 1.2 s.

Test: `steering catch_up`, five cases (all new; the former code asked in the first two).

--- a/tests/soak/ledger.rs
+++ b/tests/soak/ledger.rs
@@ -80,6 +80,11 @@
         runs.entry(request.account).or_default().push(Instant::now());
     }
 
+    /// Whether a target has run a request.
+    pub fn has_run(&self, id: &str) -> bool {
+        self.state().requests.get(id).is_some_and(|request| request.runs > 0)
+    }
+
     /// Notes the answer to a request; 0 stands for a connection that closed without one.
     pub fn answered(&self, id: &str, status: u16) {
         let mut state = self.state();
--- a/toucanhoist-core/src/steering.rs
+++ b/toucanhoist-core/src/steering.rs
@@ -10,6 +10,7 @@
 
 mod ask;
 mod budget;
+mod catch_up;
 mod changes;
 mod cold;
 mod config;
@@ -22,6 +23,7 @@
 pub use self::{
     ask::{Ask, Crossing, Outcome, Placement, Refused, Ticket, Try},
     budget::{RetryBudget, Terms as RetryTerms},
+    catch_up::CatchUp,
     changes::Changes,
     cold::ColdLimit,
     config::{AccountTerms, Config, Host, Limits, Part, Route, Routes, ServiceTerms},
--- a/toucanhoist-core/src/steering/desk/choice.rs
+++ b/toucanhoist-core/src/steering/desk/choice.rs
@@ -78,7 +78,9 @@
 pub(super) fn choose(now: Time, ask: &Ask, view: View<'_>) -> Choice {
     let own_region = view.fleet.region();
     let usable = usable(ask, &view);
-    let is_alone = !usable.iter().any(|found| found.region == own_region);
+    let is_near =
+        |found: &Usable| found.region == own_region && !view.targets[found.at].load.is_closed(now);
+    let is_alone = !usable.iter().any(is_near);
     let may_cross = view.may_overflow || view.is_away || is_alone;
     let mut choice = Choice { usable: !usable.is_empty(), ..Choice::default() };
     let mut last_region = None;
--- a/toucanhoist-core/src/steering/relay.rs
+++ b/toucanhoist-core/src/steering/relay.rs
@@ -59,10 +59,15 @@
         }
     }
 
+    /// Whether a data centre is in the host's region.
+    pub fn is_near(&self, data_centre: &id::DataCentre) -> bool {
+        self.regions.get(data_centre) == self.region.as_ref()
+    }
+
     /// Takes in the members.
     pub fn set_view(&mut self, view: &View) {
         let is_near = |member: &&Member| {
-            self.regions.get(&member.data_centre) == self.region.as_ref()
+            self.is_near(&member.data_centre)
                 && matches!(member.state, State::Live | State::Suspect)
         };
         let mut near: Vec<&Member> = view.members.iter().filter(is_near).collect();
--- a/toucanhoist-core/tests/steering.rs
+++ b/toucanhoist-core/tests/steering.rs
@@ -2,6 +2,8 @@
 
 #[path = "steering/budget.rs"]
 mod budget;
+#[path = "steering/catch_up.rs"]
+mod catch_up;
 #[path = "steering/changes.rs"]
 mod changes;
 #[path = "steering/desk.rs"]
--- a/toucanhoist-edge/src/fleet.rs
+++ b/toucanhoist-edge/src/fleet.rs
@@ -18,7 +18,9 @@
         event::Event,
         id,
         membership::{self, Detector, Incarnation, Member, Message, State, View},
-        steering::{Changes, Entry, Key, Registry, Relay, Routes, Snapshot, Topic, WORD_INTERVAL},
+        steering::{
+            CatchUp, Changes, Entry, Key, Registry, Relay, Routes, Snapshot, Topic, WORD_INTERVAL,
+        },
     },
     toucanhoist_wire::steering::{self as wire, Reach, TopicVersion, packet},
 };
@@ -40,11 +42,6 @@
 pub const LAPSE_HOLD: Duration = Duration::from_millis(2_200);
 /// Outage of the store after which entries may have lapsed.
 const OUTAGE_MIN: Duration = Duration::from_millis(700);
-/// Time that the store has to bring a change before it is asked of another host.
-const PULL_DELAY: Duration = Duration::from_millis(400);
-/// Time between two questions for a snapshot.
-const PULL_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Intervals of the failure detector: a host that is gone is known within about two seconds.
 fn detector_config() -> membership::Config {
     membership::Config {
@@ -188,8 +185,7 @@
         lost: BTreeMap::new(),
         lapse_until: Time::ZERO,
         held: Vec::new(),
-        ahead: None,
-        pulled: Time::ZERO,
+        catch_up: CatchUp::default(),
         stamp: membership::Stamp::default(),
         queue: queue.clone(),
         routes,
@@ -213,9 +209,7 @@
     lost: BTreeMap<Topic, Time>,
     lapse_until: Time,
     held: Vec<(Key, Entry)>,
-    /// Another host that knows newer entries, with the time since then.
-    ahead: Option<(SocketAddr, Time)>,
-    pulled: Time,
+    catch_up: CatchUp,
     stamp: membership::Stamp,
     queue: mpsc::Sender<Input>,
     routes: watch::Sender<Option<Arc<Routes>>>,
@@ -305,7 +299,7 @@
             topic.is_some_and(|topic| self.registry.version(topic).is_none_or(|v| v < told.version))
         });
         if is_ahead {
-            self.ahead = Some((from, Time::ZERO));
+            self.catch_up.hear_watcher(from);
             self.pull(now);
         }
     }
@@ -376,23 +370,14 @@
 
     /// Compares what a host knows with what this one knows.
     fn compare(&mut self, now: Time, message: &Message) {
-        if message.revision.as_u64() <= self.registry.newest() {
-            return;
-        }
-        match &mut self.ahead {
-            Some((from, _)) => *from = message.from.peers,
-            None => self.ahead = Some((message.from.peers, now)),
-        }
+        let (from, newest) = (&message.from, self.registry.newest());
+        let is_near = self.relay.is_near(&from.data_centre);
+        self.catch_up.hear(now, newest, from.peers, is_near, message.revision.as_u64());
     }
 
     /// Asks another host for its snapshot, if the store has not brought what it knows.
     fn pull(&mut self, now: Time) {
-        let Some((from, since)) = self.ahead else { return };
-        let due = now >= since + PULL_DELAY && now >= self.pulled + PULL_INTERVAL;
-        if !due {
-            return;
-        }
-        (self.ahead, self.pulled) = (None, now);
+        let Some(from) = self.catch_up.ask(now, self.registry.newest()) else { return };
         let queue = self.queue.clone();
         let known = self.registry.versions().clone();
         tokio::spawn(async move {
