Tell of crashing requests a few times, and only what a host learned itself

The first 64 by number were told, so that others never had their turn.

Change: `Quarantine::news`: a host tells what it learned itself, three times, and what is held back or released every two seconds, those first. What it heard it does not repeat.

Tests: `--test quarantine`: three tellings, nothing repeated, a host that was away hears of what is held back, and that first.

--- a/toucanhoist-core/src/quarantine.rs
+++ b/toucanhoist-core/src/quarantine.rs
@@ -23,6 +23,11 @@
 const TARGETS_LEAST: usize = 2;
 const RETENTION: Duration = Duration::from_secs(600);
 const ENTRIES_MAX: usize = 1_024;
+/// Times that a host tells what it learned itself; a datagram may be lost.
+const TELLINGS: u32 = 3;
+/// Time after which it tells again what is held back or released, for hosts that were away; less than
+/// the time in which all hosts must know.
+const REFRESH: Duration = Duration::from_secs(2);
 
 /// Stands for all requests of the same content.
 #[derive(
@@ -107,6 +112,11 @@
     stage: Stage,
     targets: BTreeSet<id::Target>,
     until: Time,
+    /// Whether this host learned its stage or a target itself.
+    is_own: bool,
+    /// Times that it is still told.
+    tellings: u32,
+    told: Time,
 }
 
 /// Fingerprints that are suspected, held back or released.
@@ -127,10 +137,10 @@
     /// held back from now on.
     pub fn broke_off(&mut self, now: Time, fingerprint: Fingerprint, target: &id::Target) -> bool {
         self.forget(now);
-        let suspected =
-            || Entry { stage: Stage::Suspected, targets: BTreeSet::new(), until: now + RETENTION };
+        let suspected = || Entry::new(Stage::Suspected, BTreeSet::new(), now + RETENTION);
         let entry = self.entries.entry(fingerprint).or_insert_with(suspected);
         entry.targets.insert(target.clone());
+        entry.learn();
         entry.judge(now)
     }
 
@@ -148,20 +158,30 @@
         let held = entry.stage == Stage::Held;
         if held {
             (entry.stage, entry.until) = (Stage::Released, now + RETENTION);
+            entry.learn();
         }
         held
     }
 
+    /// Returns at most `most` words to tell all other hosts now: what this host learned itself, a few
+    /// times, and from time to time what is held back or released. What it heard it does not repeat.
+    pub fn news(&mut self, now: Time, most: usize) -> Vec<Word> {
+        let mut due: Vec<_> =
+            self.entries.iter_mut().filter(|(_, entry)| entry.is_due(now)).collect();
+        due.sort_by_key(|(_, entry)| (std::cmp::Reverse(entry.stage), entry.told));
+        due.truncate(most);
+        let tell = |(&fingerprint, entry): (&Fingerprint, &mut Entry)| {
+            entry.tellings = entry.tellings.saturating_sub(1);
+            entry.told = now;
+            entry.word(now, fingerprint)
+        };
+        due.into_iter().map(tell).collect()
+    }
+
     /// Returns what other hosts and operators are to know.
     pub fn words(&self, now: Time) -> Vec<Word> {
         let known = self.entries.iter().filter(|(_, entry)| now < entry.until);
-        let word = |(&fingerprint, entry): (&Fingerprint, &Entry)| Word {
-            fingerprint,
-            stage: entry.stage,
-            targets: entry.targets.clone(),
-            left: entry.until.since(now),
-        };
-        known.map(word).collect()
+        known.map(|(&fingerprint, entry)| entry.word(now, fingerprint)).collect()
     }
 
     /// Learns what another host says; returns the fingerprints that are held back from now on.
@@ -170,7 +190,7 @@
         let mut held = Vec::new();
         for word in words {
             let until = now + word.left.min(RETENTION);
-            let heard = Entry { stage: word.stage, targets: word.targets, until };
+            let heard = Entry::new(word.stage, word.targets, until);
             match self.entries.get_mut(&word.fingerprint) {
                 Some(entry) => {
                     if entry.merge(now, heard) {
@@ -199,11 +219,31 @@
 }
 
 impl Entry {
+    fn new(stage: Stage, targets: BTreeSet<id::Target>, until: Time) -> Entry {
+        Entry { stage, targets, until, is_own: false, tellings: 0, told: Time::ZERO }
+    }
+
+    fn word(&self, now: Time, fingerprint: Fingerprint) -> Word {
+        let (stage, targets) = (self.stage, self.targets.clone());
+        Word { fingerprint, stage, targets, left: self.until.since(now) }
+    }
+
+    /// Notes that this host learned something itself, which it tells.
+    fn learn(&mut self) {
+        (self.is_own, self.tellings) = (true, TELLINGS);
+    }
+
+    fn is_due(&self, now: Time) -> bool {
+        let is_late = self.stage != Stage::Suspected && now >= self.told + REFRESH;
+        self.is_own && now < self.until && (self.tellings > 0 || is_late)
+    }
+
     /// Holds a suspected fingerprint back once enough targets broke off.
     fn judge(&mut self, now: Time) -> bool {
         let held = self.stage == Stage::Suspected && self.targets.len() >= TARGETS_LEAST;
         if held {
             (self.stage, self.until) = (Stage::Held, now + RETENTION);
+            self.learn();
         }
         held
     }
--- a/toucanhoist-core/src/quota/account.rs
+++ b/toucanhoist-core/src/quota/account.rs
@@ -258,12 +258,13 @@
 
     /// Forgets questions that can be answered no more; a host that is silent is left alone for a while.
     fn forget_unanswered(&mut self, now: Time) {
-        let is_over = |_: &u64, asked: &mut Asked| now >= asked.at + ANSWER_MAX;
-        let silent: Vec<Asked> = self.asked.extract_if(is_over).map(|(_, asked)| asked).collect();
-        for asked in silent {
+        let (asked, silent): (HashMap<_, _>, HashMap<_, _>) =
+            self.asked.drain().partition(|(_, asked)| now < asked.at + ANSWER_MAX);
+        self.asked = asked;
+        for asked in silent.into_values() {
             let silent_until = now + SILENT_TIME;
-            self.levels
-                .insert(asked.holder, Level { tokens: 0.0, at: now, misses: 0, silent_until });
+            let level = Level { tokens: 0.0, at: now, misses: 0, silent_until };
+            self.levels.insert(asked.holder, level);
         }
     }
 
--- a/toucanhoist-core/src/steering/desk.rs
+++ b/toucanhoist-core/src/steering/desk.rs
@@ -172,10 +172,11 @@
             self.services.insert(ask.service.clone(), Service::new(now));
         }
         let service = self.services.get_mut(&ask.service).expect("it was just inserted");
-        match service.admit(now, &self.settings, &self.fleet, ask) {
-            Ok(()) => service.serve(now, &self.settings, &self.fleet),
-            Err(placement) => vec![(number, placement)],
+        if service.admit(now, &self.settings, &self.fleet, ask) {
+            return service.serve(now, &self.settings, &self.fleet);
         }
+        let (reason, retry_after) = (Refused::NoBudget, service::RETRY_AFTER_MIN);
+        vec![(number, Placement::Refuse { reason, retry_after })]
     }
 
     /// Decides what can be decided of the requests that wait.
--- a/toucanhoist-core/src/steering/desk/service.rs
+++ b/toucanhoist-core/src/steering/desk/service.rs
@@ -26,7 +26,7 @@
 /// Part of the objective in which a request that waits must have ended.
 const WAIT_PART_MAX: f64 = 0.95;
 /// Time in which a request that finds no room at all may come back.
-const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
+pub(super) const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(2);
 /// Completions from which the rate of a service is estimated.
 const COMPLETIONS: usize = 32;
@@ -117,18 +117,15 @@
         known.cold_share = ColdLimit::share(rate, fleet.rank(&known.name), fleet.hosts());
     }
 
-    /// Takes in a request; it waits until [`Service::serve`] decides on it.
-    ///
-    /// # Errors
-    ///
-    /// What becomes of the request instead.
+    /// Takes in a request; it waits until [`Service::serve`] decides on it, unless the budget of repeats
+    /// is used up. Returns whether it was taken in.
     pub(super) fn admit(
         &mut self,
         now: Time,
         settings: &Settings,
         fleet: &Fleet,
         ask: Ask,
-    ) -> Result<(), Placement> {
+    ) -> bool {
         match ask.attempt {
             Try::First => {
                 self.retries.request(now, &settings.retries);
@@ -137,14 +134,11 @@
             }
             Try::Unsent => {}
             Try::Repeat if self.retries.take(now, &settings.retries, fleet.hosts()) => {}
-            Try::Repeat => {
-                let retry_after = RETRY_AFTER_MIN;
-                return Err(Placement::Refuse { reason: Refused::NoBudget, retry_after });
-            }
+            Try::Repeat => return false,
         }
         let place = self.waiting.iter().position(|other| other.priority > ask.priority);
         self.waiting.insert(place.unwrap_or(self.waiting.len()), ask);
-        Ok(())
+        true
     }
 
     fn follow_plan(&mut self, now: Time, settings: &Settings, fleet: &Fleet) {
--- a/toucanhoist-core/tests/quarantine.rs
+++ b/toucanhoist-core/tests/quarantine.rs
@@ -77,3 +77,51 @@
     }
     assert_eq!(held, BTreeSet::from([crashing]));
 }
+
+#[test]
+fn a_host_tells_what_it_learned_a_few_times_and_repeats_nothing_that_it_heard() {
+    let at = |millis: u64| Time::from_millis(1_000 + millis);
+    let fingerprint = Fingerprint::from(7);
+    let (mut first, mut other) = (Quarantine::default(), Quarantine::default());
+    first.broke_off(at(0), fingerprint, &"t1".parse().expect("a name"));
+    let mut told = 0;
+    for round in 0..20 {
+        let news = first.news(at(round * 500), 64);
+        told += news.len();
+        other.hear(at(round * 500), news);
+        assert!(other.news(at(round * 500), 64).is_empty(), "it only heard of it");
+    }
+    assert_eq!(told, 3);
+
+    // The other host sees a second target break off: it holds the request back and says so.
+    assert!(other.broke_off(at(10_000), fingerprint, &"t2".parse().expect("a name")));
+    let mut late = Quarantine::default();
+    let mut told = 0;
+    for round in 20..60 {
+        let news = other.news(at(round * 500), 64);
+        told += news.len();
+        first.hear(at(round * 500), news.clone());
+        if round >= 40 {
+            late.hear(at(round * 500), news);
+        }
+    }
+    assert!(first.held(at(30_000), fingerprint).is_some());
+    assert!(late.held(at(30_000), fingerprint).is_some(), "a host that was away hears of it");
+    assert!(told <= 3 + 10, "{told} times in twenty seconds");
+}
+
+#[test]
+fn what_is_held_back_is_told_before_suspicions() {
+    let at = Time::from_millis(1_000);
+    let mut quarantine = Quarantine::default();
+    let target = |number: u64| format!("t{number}").parse().expect("a name");
+    for number in 0..100 {
+        quarantine.broke_off(at, Fingerprint::from(number), &target(number));
+    }
+    let held = Fingerprint::from(99);
+    quarantine.broke_off(at, held, &target(1));
+    let news = quarantine.news(at, 10);
+    assert_eq!((news.len(), news[0].fingerprint), (10, held));
+    let next = quarantine.news(at, 64);
+    assert!(!next.iter().any(|word| news[1..].contains(word)), "others have their turn");
+}
--- a/toucanhoist-edge/src/gateway/ahead.rs
+++ b/toucanhoist-edge/src/gateway/ahead.rs
@@ -38,10 +38,16 @@
 /// must end.
 const LEFT_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Work on an answer.
+type Work = JoinHandle<Response<Body>>;
+
+/// Begins work on a request, if it may be begun early.
+type Begin = dyn Fn(&Parts) -> Option<Work> + Send + Sync;
+
 /// An answer that is worked on.
 pub(super) struct Early {
     head: Parts,
-    answer: JoinHandle<Response<Body>>,
+    answer: Work,
 }
 
 impl Drop for Early {
@@ -61,8 +67,7 @@
 /// The requests of one connection.
 pub(super) struct Ahead {
     state: Mutex<State>,
-    /// Begins work on a request, if it may be begun early.
-    begin: Box<dyn Fn(&Parts) -> Option<JoinHandle<Response<Body>>> + Send + Sync>,
+    begin: Box<Begin>,
 }
 
 #[derive(Default)]
@@ -76,7 +81,7 @@
 
 impl Ahead {
     pub(super) fn new(
-        begin: impl Fn(&Parts) -> Option<JoinHandle<Response<Body>>> + Send + Sync + 'static,
+        begin: impl Fn(&Parts) -> Option<Work> + Send + Sync + 'static,
     ) -> Arc<Ahead> {
         Arc::new(Ahead { state: Mutex::default(), begin: Box::new(begin) })
     }
--- a/toucanhoist-edge/src/steer.rs
+++ b/toucanhoist-edge/src/steer.rs
@@ -418,11 +418,11 @@
             return;
         }
         self.told = now;
-        let words = self.quarantine.words(now);
+        let words = self.quarantine.news(now, SUSPICIONS_MAX);
         if words.is_empty() {
             return;
         }
-        let suspicions = words.iter().take(SUSPICIONS_MAX).map(Into::into).collect();
+        let suspicions = words.iter().map(Into::into).collect();
         let packet = packet::Body::Suspicions(Suspicions { suspicions });
         for (name, host) in &self.hosts {
             if *name != self.host {
