Wake for a caller that may leave only while requests wait behind another

Change: a connection is told when a request waits behind another. Beside, found at the read: the ledger's hosts count as far away again (a question held up others for 20 ms only, less than a trip between regions).

--- a/toucanhoist-core/src/quota/account.rs
+++ b/toucanhoist-core/src/quota/account.rs
@@ -216,9 +216,9 @@
             return Vec::new();
         }
         let mut missing = wanted - open.iter().map(|asked| asked.tokens).sum::<f64>();
-        let is_open = open.is_empty();
+        let none_is_open = open.is_empty();
         let candidates = self.candidates(now);
-        if candidates.is_empty() && is_open {
+        if candidates.is_empty() && none_is_open {
             self.end_round(now);
         }
         let mut questions = Vec::new();
--- a/toucanhoist-core/src/quota/manager.rs
+++ b/toucanhoist-core/src/quota/manager.rs
@@ -399,7 +399,8 @@
         let holding = |grant: &&Grant| grant.holder != self.me && grant.burst > 0.0;
         for grant in self.ledger.grants.iter().filter(holding) {
             let size = Size { rate: grant.rate, burst: grant.burst };
-            let other = Other { holder: grant.holder.clone(), size, distance: 0 };
+            // The ledger does not say where a host is.
+            let other = Other { holder: grant.holder.clone(), size, distance: 1 };
             others.entry(&grant.account).or_default().push(other);
         }
         for (name, account) in &mut self.accounts {
--- a/toucanhoist-edge/src/gateway/ahead.rs
+++ b/toucanhoist-edge/src/gateway/ahead.rs
@@ -23,6 +23,7 @@
     tokio::{
         io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
         net::TcpStream,
+        sync::Notify,
         task::JoinHandle,
         time,
     },
@@ -68,6 +69,8 @@
 pub(super) struct Ahead {
     state: Mutex<State>,
     begin: Box<Begin>,
+    /// Told when a request waits behind another.
+    behind: Notify,
 }
 
 #[derive(Default)]
@@ -83,7 +86,8 @@
     pub(super) fn new(
         begin: impl Fn(&Parts) -> Option<Work> + Send + Sync + 'static,
     ) -> Arc<Ahead> {
-        Arc::new(Ahead { state: Mutex::default(), begin: Box::new(begin) })
+        let (state, behind) = (Mutex::default(), Notify::new());
+        Arc::new(Ahead { state, begin: Box::new(begin), behind })
     }
 
     /// Looks at bytes on their way to the HTTP library.
@@ -94,6 +98,9 @@
             let early = state.waiting.iter().flatten().count();
             let begun = if is_next || early >= EARLY_MAX { None } else { (self.begin)(&head) };
             state.waiting.push_back(begun.map(|answer| Early { head, answer }));
+            if !is_next {
+                self.behind.notify_one();
+            }
         }
     }
 
@@ -210,14 +217,14 @@
 /// then, as it reads no further than the request that waits.
 pub(super) async fn caller_left(stream: &TcpStream, ahead: &Ahead) {
     loop {
-        time::sleep(LEFT_INTERVAL).await;
-        if !ahead.is_waiting() {
-            continue;
-        }
-        // A stream without news is not ready, and its caller is there.
-        let ready = time::timeout(Duration::ZERO, stream.ready(Interest::READABLE)).await;
-        if matches!(ready, Ok(Ok(ready)) if ready.is_read_closed()) {
-            return;
+        ahead.behind.notified().await;
+        while ahead.is_waiting() {
+            time::sleep(LEFT_INTERVAL).await;
+            // A stream without news is not ready, and its caller is there.
+            let ready = time::timeout(Duration::ZERO, stream.ready(Interest::READABLE)).await;
+            if matches!(ready, Ok(Ok(ready)) if ready.is_read_closed()) {
+                return;
+            }
         }
     }
 }
