Call what the change had already: one loop, one reading, one map of data centres

Found at the read of the whole change: `Registry::replace` and `merge` kept the loop that `apply_all` became; what begins requests early read the caller's host name by itself, without the fallback that the route's choice has; the data centres of all hosts were mapped twice for each change of hosts, and again for each configuration; the choice of a target compared regions though `near` says the same; a field of `CatchUp` was said to hold the highest version, and holds the one that was found missing.

Ruled out: heads read without building their headers where nothing is begun early (what is refused by the HTTP library would be scanned on), and one place for near and far of relay, desk and accounts (they hold different things of a data centre).

Change: the pieces are called; behaviour is meant to stay.

--- a/toucanhoist-core/src/steering/catch_up.rs
+++ b/toucanhoist-core/src/steering/catch_up.rs
@@ -27,7 +27,7 @@
 #[derive(Debug)]
 struct Behind {
     since: Time,
-    /// Highest version that others know.
+    /// Version that was found missing then; later ones start anew once it has arrived.
     version: u64,
     near: Option<SocketAddr>,
     far: Option<SocketAddr>,
--- a/toucanhoist-core/src/steering/changes.rs
+++ b/toucanhoist-core/src/steering/changes.rs
@@ -43,10 +43,4 @@
         }
         changed
     }
-
-    /// Takes in entries; returns the keys that changed.
-    pub fn apply_all(&mut self, entries: &[(Key, Entry)]) -> BTreeSet<Key> {
-        let newer = entries.iter().filter(|(key, entry)| self.apply(key.clone(), entry.clone()));
-        newer.map(|(key, _)| key.clone()).collect()
-    }
 }
--- a/toucanhoist-core/src/steering/desk/choice.rs
+++ b/toucanhoist-core/src/steering/desk/choice.rs
@@ -76,11 +76,12 @@
 
 /// Chooses a target for a request.
 pub(super) fn choose(now: Time, ask: &Ask, view: View<'_>) -> Choice {
-    let own_region = view.fleet.region();
     let usable = usable(ask, &view);
-    let is_near =
-        |found: &Usable| found.region == own_region && !view.targets[found.at].load.is_closed(now);
-    let is_alone = !usable.iter().any(is_near);
+    let is_reached_near = |found: &Usable| {
+        let known = &view.targets[found.at];
+        known.near != Near::Away && !known.load.is_closed(now)
+    };
+    let is_alone = !usable.iter().any(is_reached_near);
     let may_cross = view.may_overflow || view.is_away || is_alone;
     let mut choice = Choice { usable: !usable.is_empty(), ..Choice::default() };
     let mut last_region = None;
@@ -89,7 +90,7 @@
         let is_first = ask.object.is_some() && last_region != Some(region);
         last_region = Some(region);
         let known = &mut view.targets[at];
-        let crosses = region != own_region;
+        let crosses = known.near == Near::Away;
         if (crosses && !may_cross) || !known.is_open(now, view.connections) {
             continue;
         }
--- a/toucanhoist-core/src/steering/registry.rs
+++ b/toucanhoist-core/src/steering/registry.rs
@@ -193,6 +193,12 @@
         true
     }
 
+    /// Takes in entries, as [`Registry::apply`] does; returns the keys that changed.
+    pub fn apply_all(&mut self, entries: &[(Key, Entry)]) -> BTreeSet<Key> {
+        let newer = entries.iter().filter(|(key, entry)| self.apply(key.clone(), entry.clone()));
+        newer.map(|(key, _)| key.clone()).collect()
+    }
+
     /// Notes that all changes of a topic up to `version` are in.
     pub fn reach(&mut self, topic: Topic, version: u64) {
         let known = self.versions.entry(topic).or_default();
@@ -232,11 +238,7 @@
             self.entries.insert(key.clone(), removed);
             changed.insert(key);
         }
-        for (key, entry) in entries {
-            if self.apply(key.clone(), entry) {
-                changed.insert(key);
-            }
-        }
+        changed.extend(self.apply_all(&entries));
         self.reach(topic, version);
         changed
     }
@@ -260,12 +262,7 @@
 
     /// Takes in another host's snapshot; returns the keys that changed.
     pub fn merge(&mut self, snapshot: Snapshot) -> BTreeSet<Key> {
-        let mut changed = BTreeSet::new();
-        for (key, entry) in snapshot.entries {
-            if self.apply(key.clone(), entry) {
-                changed.insert(key);
-            }
-        }
+        let changed = self.apply_all(&snapshot.entries);
         for (topic, version) in snapshot.versions {
             self.reach(topic, version);
         }
--- a/toucanhoist-edge/src/gateway.rs
+++ b/toucanhoist-edge/src/gateway.rs
@@ -109,8 +109,7 @@
     let ahead = request::look_ahead(&shared);
     let socket = Arc::new(stream);
     let stream = ahead::Stream::new(Arc::clone(&socket), Arc::clone(&ahead));
-    let begun = Arc::clone(&ahead);
-    let service = service_fn(move |request| {
+    let service = service_fn(|request| {
         let (shared, ahead) = (Arc::clone(&shared), Arc::clone(&ahead));
         async move { Ok::<_, Infallible>(request::handle(&shared, &ahead, request).await) }
     });
@@ -122,9 +121,9 @@
     tokio::select! {
         // A caller that goes away has nothing more to be told.
         _ = connection.as_mut() => return,
-        () = ahead::caller_left(&socket, &begun) => return,
+        () = ahead::caller_left(&socket, &ahead) => return,
         // What has begun is answered before the connection closes.
-        () = closing(&mut phase, &begun) => {}
+        () = closing(&mut phase, &ahead) => {}
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
--- a/toucanhoist-edge/src/gateway/request.rs
+++ b/toucanhoist-edge/src/gateway/request.rs
@@ -63,8 +63,7 @@
     let shared = Arc::clone(shared);
     Ahead::new(move |head| {
         let routes = shared.fleet.routes()?;
-        let host = head.headers.get(header::HOST)?.to_str().ok()?;
-        let is_repeatable = routes.route(host, head.uri.path())?.repeatable;
+        let is_repeatable = routes.route(host(head), head.uri.path())?.repeatable;
         if !is_repeatable || *shared.phase.borrow() != Phase::Serving {
             return None;
         }
@@ -192,9 +191,7 @@
     head: Parts,
     body: Bytes,
 ) -> Result<Admitted, Refusal> {
-    let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
-    let path = head.uri.path();
+    let (host, path) = (host(&head), head.uri.path());
     let route = routes
         .route(host, path)
         .ok_or_else(|| Refusal::not_run(Code::UnknownRoute, format!("{host}{path}")))?;
@@ -245,6 +242,12 @@
     })
 }
 
+/// Returns the host name that a request is for.
+fn host(head: &Parts) -> &str {
+    let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    host.or_else(|| head.uri.host()).unwrap_or_default()
+}
+
 /// Returns the regions that may serve a request; `None` if there is none.
 fn homes(route: &[id::Region], account: &[id::Region]) -> Option<Vec<id::Region>> {
     if route.is_empty() || account.is_empty() {
--- a/toucanhoist-edge/src/steer.rs
+++ b/toucanhoist-edge/src/steer.rs
@@ -200,7 +200,7 @@
     places: HashMap<u64, oneshot::Sender<Placed>>,
     quarantine: Quarantine,
     accounts: Accounts,
-    hosts: BTreeMap<id::EntryHost, EntryHost>,
+    hosts: Arc<BTreeMap<id::EntryHost, EntryHost>>,
     /// Addresses of the other hosts of the region.
     neighbours: Vec<SocketAddr>,
     routes: Option<Arc<Routes>>,
@@ -244,7 +244,7 @@
             desk,
             places: HashMap::new(),
             quarantine: Quarantine::default(),
-            hosts: BTreeMap::new(),
+            hosts: Arc::default(),
             neighbours: Vec::new(),
             routes: None,
             told: Time::ZERO,
@@ -302,12 +302,9 @@
             Input::Target(name, target) => self.desk.set_target(now, &name, target.as_ref()),
             Input::Evacuated(evacuated) => self.desk.set_evacuated(now, evacuated),
             Input::Hosts(hosts) => {
-                let centre = |(name, host): (&id::EntryHost, &EntryHost)| {
-                    (name.clone(), host.data_centre.clone())
-                };
-                self.desk.set_hosts(hosts.iter().map(centre).collect());
-                self.accounts.set_hosts(hosts.clone());
-                self.hosts = hosts;
+                self.hosts = Arc::new(hosts);
+                let centres = self.accounts.set_hosts(Arc::clone(&self.hosts));
+                self.desk.set_hosts(centres.clone());
                 self.set_neighbours();
                 self.set_shares(now);
             }
@@ -424,7 +421,7 @@
         }
         let suspicions = words.iter().map(Into::into).collect();
         let packet = packet::Body::Suspicions(Suspicions { suspicions });
-        for (name, host) in &self.hosts {
+        for (name, host) in &*self.hosts {
             if *name != self.host {
                 self.peers.send(host.peers, packet.clone());
             }
--- a/toucanhoist-edge/src/steer/accounts.rs
+++ b/toucanhoist-edge/src/steer/accounts.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
+    sync::Arc,
     time::Duration,
 };
 
@@ -30,7 +31,9 @@
     first_start: bool,
     peers: peers::Sender,
     known: HashMap<id::Account, Account>,
-    hosts: BTreeMap<id::EntryHost, EntryHost>,
+    hosts: Arc<BTreeMap<id::EntryHost, EntryHost>>,
+    /// Data centres of the hosts, this one among them.
+    centres: BTreeMap<id::EntryHost, id::DataCentre>,
     /// Requests that wait for a token.
     waiting: HashMap<u64, Reply>,
     next_ticket: u64,
@@ -46,7 +49,8 @@
             first_start: settings.first_start,
             peers,
             known: HashMap::new(),
-            hosts: BTreeMap::new(),
+            hosts: Arc::default(),
+            centres: BTreeMap::from([(settings.name.clone(), settings.data_centre.clone())]),
             waiting: HashMap::new(),
             next_ticket: 0,
             next_question: rand::random(),
@@ -58,9 +62,17 @@
         !self.waiting.is_empty()
     }
 
-    /// Sets the hosts that have registered.
-    pub(super) fn set_hosts(&mut self, hosts: BTreeMap<id::EntryHost, EntryHost>) {
+    /// Sets the hosts that have registered; returns the data centres of all hosts, this one among them.
+    pub(super) fn set_hosts(
+        &mut self,
+        hosts: Arc<BTreeMap<id::EntryHost, EntryHost>>,
+    ) -> &BTreeMap<id::EntryHost, id::DataCentre> {
+        let centre =
+            |(name, host): (&id::EntryHost, &EntryHost)| (name.clone(), host.data_centre.clone());
+        self.centres = hosts.iter().map(centre).collect();
+        self.centres.insert(self.host.clone(), self.data_centre.clone());
         self.hosts = hosts;
+        &self.centres
     }
 
     /// Sets each host's share of the accounts.
@@ -68,15 +80,10 @@
     /// A host keeps its share while it cannot be reached, since it goes on serving. So the shares of
     /// all hosts never exceed what an account was agreed.
     pub(super) fn set_shares(&mut self, now: Time, terms: &[AccountTerms]) {
-        let centre =
-            |(name, host): (&id::EntryHost, &EntryHost)| (name.clone(), host.data_centre.clone());
-        let mut hosts: BTreeMap<id::EntryHost, id::DataCentre> =
-            self.hosts.iter().map(centre).collect();
-        hosts.insert(self.host.clone(), self.data_centre.clone());
         let mut known = std::mem::take(&mut self.known);
         for terms in terms.iter().filter(|terms| terms.rate > 0.0) {
             let account = known.remove(&terms.name);
-            let account = self.share(now, terms, account, &holders(&terms.name, &hosts));
+            let account = self.share(now, terms, account, &holders(&terms.name, &self.centres));
             self.known.insert(terms.name.clone(), account);
         }
         // Requests of an account that has gone, or has no limit any more, wait for nothing.
