Tell hosts of the region of slow and failing targets

Ruled out: a longer memory (a target that is well again would stay unused); telling a verdict ("slow") would go round between hosts after its reason has gone.

Change: what a host saw of a target since it last told (times, ends, failures; good requests too, so that recovery is told) goes with the datagram that tells of its requests, for targets that are slow or failing or that it takes to be. It counts half of an own request. Only what a host saw itself is told.

--- a/toucanhoist-core/src/steering.rs
+++ b/toucanhoist-core/src/steering.rs
@@ -30,7 +30,7 @@
     cold::ColdLimit,
     config::{AccountTerms, Config, Host, Limits, Part, Route, Routes, ServiceTerms},
     desk::{Desk, Settings, TELL_HOSTS_MIN, TELL_INTERVAL, Tag},
-    load::{Load, Reading, Report},
+    load::{Load, Reading, Report, Seen},
     registry::{Entry, EntryHost, Key, Registry, Snapshot, Target, TargetState, Topic, Value},
     relay::{Relay, WORD_INTERVAL},
     touch::Touch,
--- a/toucanhoist-core/src/steering/desk.rs
+++ b/toucanhoist-core/src/steering/desk.rs
@@ -6,8 +6,8 @@
 };
 
 use super::{
-    Ask, ColdLimit, Config, Outcome, Placement, Refused, RetryBudget, ServiceTerms, Target, Ticket,
-    Try, Work, budget,
+    Ask, ColdLimit, Config, Outcome, Placement, Refused, RetryBudget, Seen, ServiceTerms, Target,
+    Ticket, Try, Work, budget,
 };
 use crate::{clock::Time, id};
 
@@ -100,16 +100,33 @@
         busy.map(|known| (known.tag(), known.load.own())).collect()
     }
 
+    /// Returns what this host has seen of targets that are slow or failing since the last call, for the
+    /// other hosts of its region.
+    pub fn seen(&mut self, now: Time) -> HashMap<Tag, Seen> {
+        let known = self.services.values_mut().flat_map(|service| &mut service.targets);
+        known.filter_map(|known| Some((known.tag(), known.load.news(now)?))).collect()
+    }
+
     /// Takes in how many requests another host has at each target.
     pub fn hear(&mut self, now: Time, host: id::EntryHost, requests: HashMap<Tag, u32>) {
         self.neighbours.hear(now, host, requests);
     }
 
+    /// Takes in what another host has seen of targets that are slow or failing.
+    pub fn hear_seen(&mut self, seen: impl IntoIterator<Item = (Tag, Seen)>) {
+        self.neighbours.hear_seen(seen);
+    }
+
     /// Takes what neighbours told into account, if there is news.
     fn take_told(&mut self, now: Time) {
         let Some(requests) = self.neighbours.news(now) else { return };
+        let seen = self.neighbours.take_seen();
         for known in self.services.values_mut().flat_map(|service| &mut service.targets) {
-            known.load.tell(requests.get(&known.tag()).copied().map_or(0.0, f64::from));
+            let tag = known.tag();
+            known.load.tell(requests.get(&tag).copied().map_or(0.0, f64::from));
+            if let Some(seen) = seen.get(&tag) {
+                known.load.hear(now, seen);
+            }
         }
     }
 
--- a/toucanhoist-core/src/steering/desk/neighbours.rs
+++ b/toucanhoist-core/src/steering/desk/neighbours.rs
@@ -1,11 +1,12 @@
 //! What other hosts tell of their requests at targets.
 //!
 //! Hosts of a region tell each other at short intervals how many requests they have at each target. A
-//! target's own reports come too seldom to a host that sends it only a part of its requests.
+//! target's own reports come too seldom to a host that sends it only a part of its requests. For the same
+//! reason they tell what they have seen of targets that are slow or failing.
 
 use std::{collections::HashMap, time::Duration};
 
-use crate::{clock::Time, id};
+use crate::{clock::Time, id, steering::Seen};
 
 /// Time after which what a host told no longer counts.
 const SILENCE_MAX: Duration = Duration::from_millis(1_000);
@@ -27,6 +28,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Neighbours {
     hosts: HashMap<id::EntryHost, Neighbour>,
+    /// What was told of slow and failing targets since the last sum.
+    seen: HashMap<Tag, Seen>,
     /// Whether there is something that no sum holds.
     changed: bool,
     summed: Time,
@@ -45,6 +48,16 @@
         self.changed = true;
     }
 
+    /// Takes in what a host has seen of slow and failing targets.
+    pub(super) fn hear_seen(&mut self, seen: impl IntoIterator<Item = (Tag, Seen)>) {
+        seen.into_iter().for_each(|(tag, seen)| self.seen.entry(tag).or_default().add(seen));
+    }
+
+    /// Returns what was told of slow and failing targets since the last call.
+    pub(super) fn take_seen(&mut self) -> HashMap<Tag, Seen> {
+        std::mem::take(&mut self.seen)
+    }
+
     /// Returns the requests of all other hosts by target, if they have changed; hosts that have told
     /// nothing for long are forgotten.
     pub(super) fn news(&mut self, now: Time) -> Option<HashMap<Tag, u32>> {
--- a/toucanhoist-core/src/steering/load.rs
+++ b/toucanhoist-core/src/steering/load.rs
@@ -16,6 +16,13 @@
 const MEMORY_FADE_S: f64 = 4.0;
 /// Weight of a request's outcome in the part that fails.
 const FAILURE_WEIGHT: f64 = 0.25;
+/// Multiple of the usual time from which a target is slow enough that other hosts should know; few
+/// take twice as long as others of their kind.
+const SLOW_MULTIPLE: f64 = 2.0;
+/// Part of requests that fail from which other hosts should know.
+const FAILING_PART: f64 = 0.1;
+/// Weight of a request of another host, as a part of an own one's: it may reach the target on other ways.
+const SEEN_PART: f64 = 0.5;
 /// Time for which an unreachable target is left alone; it doubles with each failure.
 const CLOSED_FIRST: Duration = Duration::from_millis(250);
 const CLOSED_MAX: Duration = Duration::from_secs(2);
@@ -33,6 +40,33 @@
     pub slots: u32,
 }
 
+/// What a host has seen of a target's speed and failures in a short time.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Seen {
+    /// Requests whose time says something.
+    pub times: u32,
+    /// Sum of their times, as multiples of what was expected.
+    pub multiples: f64,
+    /// Requests that ended.
+    pub ends: u32,
+    /// Requests among them that failed.
+    pub failed: u32,
+}
+
+impl Seen {
+    /// Adds what was seen beside it.
+    pub fn add(&mut self, other: Seen) {
+        self.times += other.times;
+        self.multiples += other.multiples;
+        self.ends += other.ends;
+        self.failed += other.failed;
+    }
+
+    fn is_bad(&self) -> bool {
+        self.failed > 0 || self.multiples > SLOW_MULTIPLE * f64::from(self.times)
+    }
+}
+
 /// What counts of a target's load, speed and failures at one time.
 #[derive(Clone, Copy, Debug)]
 pub struct Reading {
@@ -56,6 +90,8 @@
     slowness: f64,
     failing: f64,
     learned: Time,
+    /// What was seen since other hosts were last told.
+    seen: Seen,
     closed_until: Time,
     closed_for: Duration,
     objects: VecDeque<u64>,
@@ -71,6 +107,7 @@
             slowness: 1.0,
             failing: 0.0,
             learned: Time::ZERO,
+            seen: Seen::default(),
             closed_until: Time::ZERO,
             closed_for: CLOSED_FIRST,
             objects: VecDeque::new(),
@@ -157,23 +194,49 @@
 
     /// Learns a request's time, as a multiple of what was expected.
     pub fn took(&mut self, now: Time, multiple: f64) {
-        let Reading { slowness, failing, .. } = self.read(now);
-        let multiple = multiple.clamp(SLOWNESS_MIN, SLOWNESS_MAX);
-        self.slowness = slowness + (multiple - slowness) * SLOWNESS_WEIGHT;
-        (self.failing, self.learned) = (failing, now);
+        let multiples = multiple.clamp(SLOWNESS_MIN, SLOWNESS_MAX);
+        let seen = Seen { times: 1, multiples, ..Seen::default() };
+        self.learn(now, &seen, 1.0);
+        self.seen.add(seen);
     }
 
     /// Learns whether a request failed there.
     pub fn ended(&mut self, now: Time, failed: bool) {
-        let Reading { slowness, failing, .. } = self.read(now);
-        let outcome = if failed { 1.0 } else { 0.0 };
-        self.failing = failing + (outcome - failing) * FAILURE_WEIGHT;
-        (self.slowness, self.learned) = (slowness, now);
+        let seen = Seen { ends: 1, failed: u32::from(failed), ..Seen::default() };
+        self.learn(now, &seen, 1.0);
+        self.seen.add(seen);
         if !failed {
             (self.closed_until, self.closed_for) = (Time::ZERO, CLOSED_FIRST);
         }
     }
 
+    /// Learns what other hosts have seen.
+    pub fn hear(&mut self, now: Time, seen: &Seen) {
+        self.learn(now, seen, SEEN_PART);
+    }
+
+    /// Returns what was seen since the last call, if other hosts should know: the target is slow or
+    /// failing, or they may take it to be.
+    pub fn news(&mut self, now: Time) -> Option<Seen> {
+        let seen = std::mem::take(&mut self.seen);
+        let known = self.read(now);
+        let is_known_bad = known.slowness > SLOW_MULTIPLE || known.failing > FAILING_PART;
+        let any = seen.times + seen.ends > 0;
+        (any && (is_known_bad || seen.is_bad())).then_some(seen)
+    }
+
+    fn learn(&mut self, now: Time, seen: &Seen, part: f64) {
+        let Reading { slowness, failing, .. } = self.read(now);
+        // Each of several requests counts as much as if it had ended alone.
+        let weight = |weight: f64, count: u32| 1.0 - (1.0 - weight * part).powf(f64::from(count));
+        let mean = |sum: f64, count: u32| sum / f64::from(count.max(1));
+        let times = weight(SLOWNESS_WEIGHT, seen.times);
+        let ends = weight(FAILURE_WEIGHT, seen.ends);
+        self.slowness = slowness + (mean(seen.multiples, seen.times) - slowness) * times;
+        self.failing = failing + (mean(f64::from(seen.failed), seen.ends) - failing) * ends;
+        self.learned = now;
+    }
+
     /// Learns that the target cannot be reached.
     pub fn close(&mut self, now: Time) {
         if self.is_closed(now) {
--- a/toucanhoist-core/tests/steering.rs
+++ b/toucanhoist-core/tests/steering.rs
@@ -18,6 +18,8 @@
 mod relay;
 #[path = "steering/routes.rs"]
 mod routes;
+#[path = "steering/seen.rs"]
+mod seen;
 #[path = "steering/split.rs"]
 mod split;
 #[path = "steering/support.rs"]
--- /dev/null
+++ b/toucanhoist-core/tests/steering/seen.rs
@@ -0,0 +1,120 @@
+//! What hosts tell each other of slow and failing targets.
+
+use std::collections::{BTreeMap, HashMap};
+
+use {
+    rstest::rstest,
+    toucanhoist_core::steering::{Desk, Outcome, Seen, Ticket},
+};
+
+use crate::support::{answered, ask, at, config, name, place, settings, target};
+
+/// Hosts of the region, targets that they share, and requests that each sends in ten seconds.
+const HOSTS: u64 = 12;
+const TARGETS: u64 = 30;
+const PER_HOST: u64 = 50;
+const INTERVAL_MS: u64 = 200;
+
+fn host(number: u64) -> Desk {
+    let mut desk = Desk::new(settings(&format!("h{number}"), "n1"));
+    desk.set_config(at(0), &config());
+    for number in 0..TARGETS {
+        desk.set_target(at(0), &name(&format!("t{number}")), Some(&target("n1", 3)));
+    }
+    desk
+}
+
+/// Returns the requests that the first target got from all hosts; they end so there, after some time,
+/// and after 270 ms at the others.
+fn sent_to_first(outcome: Outcome, after_ms: u64, is_told: bool) -> usize {
+    let mut hosts: Vec<Desk> = (0..HOSTS).map(host).collect();
+    let mut under_way: BTreeMap<(u64, u64), (usize, Ticket)> = BTreeMap::new();
+    let mut sent = 0;
+    for millis in 0..PER_HOST * INTERVAL_MS {
+        while let Some(entry) = under_way.first_entry().filter(|next| next.key().0 <= millis) {
+            let (host, ticket) = entry.remove();
+            let is_first = ticket.target == name("t0");
+            let end = if is_first { outcome } else { answered(270) };
+            hosts[host].end(at(millis), &ticket, end);
+        }
+        for (number, host) in (0..).zip(hosts.iter_mut()) {
+            if millis % INTERVAL_MS != number * 16 {
+                continue;
+            }
+            let id = millis * HOSTS + number;
+            let Some(ticket) = place(host, at(millis), ask(id, at(millis))) else { continue };
+            let is_first = ticket.target == name("t0");
+            sent += usize::from(is_first);
+            let takes = if is_first { after_ms } else { 270 };
+            under_way.insert((millis + takes, id), (number as usize, ticket));
+        }
+        if is_told && millis % 150 == 0 {
+            tell(&mut hosts, millis);
+        }
+    }
+    sent
+}
+
+/// Lets each host tell the others.
+fn tell(hosts: &mut [Desk], millis: u64) {
+    let told: Vec<_> =
+        hosts.iter_mut().map(|host| (host.requests(), host.seen(at(millis)))).collect();
+    for (from, (requests, seen)) in told.iter().enumerate() {
+        let others = (0..).zip(hosts.iter_mut()).filter(|(number, _)| *number != from);
+        for (_, other) in others {
+            other.hear(at(millis), name(&format!("h{from}")), requests.clone());
+            other.hear_seen(seen.clone());
+        }
+    }
+}
+
+/// Of 600 requests over twelve hosts, a thirtieth is the target's even part. A host alone sends it a few
+/// before it knows; together they should need hardly more.
+#[rstest]
+#[case::silent(Outcome::Unanswered, 2_000)]
+#[case::slow(answered(1_600), 1_600)]
+#[case::failing(Outcome::Broken, 50)]
+fn hosts_learn_of_a_bad_target_from_each_other(#[case] outcome: Outcome, #[case] after_ms: u64) {
+    let alone = sent_to_first(outcome, after_ms, false);
+    let told = sent_to_first(outcome, after_ms, true);
+    println!("{outcome:?}: {told}, {alone} without telling");
+    assert!(2 * told <= alone, "{told} requests went to it, {alone} without telling");
+}
+
+#[test]
+fn a_target_that_is_well_again_gets_its_part_again() {
+    let mut hosts: Vec<Desk> = (0..HOSTS).map(host).collect();
+    let tag = first_tag(&mut hosts[0]);
+    let bad = Seen { times: 10, multiples: 60.0, ends: 10, failed: 10 };
+    hosts[1].hear(at(0), name("h0"), HashMap::new());
+    hosts[1].hear_seen([(tag, bad)]);
+    assert!(!goes_to_first(&mut hosts[1], 100), "it was told to be slow and failing");
+    // Nobody says anything more.
+    assert!(goes_to_first(&mut hosts[1], 30_000));
+}
+
+/// Returns the first target's tag, as a host tells it.
+fn first_tag(host: &mut Desk) -> u32 {
+    let mut number = 0;
+    loop {
+        number += 1;
+        let ticket = place(host, at(0), ask(number, at(0))).expect("a place");
+        if ticket.target == name("t0") {
+            host.end(at(50), &ticket, Outcome::Broken);
+            return *host.seen(at(50)).keys().next().expect("it failed");
+        }
+        host.end(at(0), &ticket, answered(270));
+    }
+}
+
+/// Whether any of 200 requests goes to the first target.
+fn goes_to_first(host: &mut Desk, millis: u64) -> bool {
+    (0..200).any(|number| {
+        let Some(ticket) = place(host, at(millis), ask(10_000 + millis + number, at(millis)))
+        else {
+            return false;
+        };
+        host.end(at(millis), &ticket, answered(270));
+        ticket.target == name("t0")
+    })
+}
--- a/toucanhoist-edge/src/steer.rs
+++ b/toucanhoist-edge/src/steer.rs
@@ -376,6 +376,7 @@
                 let Some((name, _)) = host else { return };
                 let requests = told.tags.into_iter().zip(told.counts).collect();
                 self.desk.hear(now, name.clone(), requests);
+                self.desk.hear_seen(told.seen.iter().map(|seen| (seen.tag, seen.into())));
             }
             // These are the fleet's.
             packet::Body::Membership(_) | packet::Body::Reach(_) | packet::Body::Changes(_) => {}
@@ -389,7 +390,8 @@
         self.neighbours = self.hosts.iter().filter(near).map(|(_, host)| host.peers).collect();
     }
 
-    /// Tells the other hosts of the region how many requests this one has at each target.
+    /// Tells the other hosts of the region how many requests this one has at each target, and which
+    /// targets it has seen to be slow or failing.
     fn tell_requests(&mut self, now: Time) {
         let is_due = now >= self.told_requests + TELL_INTERVAL;
         if !is_due || self.neighbours.len() + 1 < TELL_HOSTS_MIN {
@@ -397,10 +399,11 @@
         }
         self.told_requests = now;
         let (tags, counts): (Vec<_>, Vec<_>) = self.desk.requests().into_iter().unzip();
-        let is_empty = tags.is_empty();
+        let seen: Vec<_> = self.desk.seen(now).iter().map(Into::into).collect();
+        let is_empty = tags.is_empty() && seen.is_empty();
         // That there are none any more is told once.
         if !is_empty || self.told_any {
-            let requests = packet::Body::Requests(Requests { tags, counts });
+            let requests = packet::Body::Requests(Requests { tags, counts, seen });
             self.peers.send_all(&self.neighbours, requests);
         }
         self.told_any = !is_empty;
--- a/toucanhoist-wire/src/convert.rs
+++ b/toucanhoist-wire/src/convert.rs
@@ -5,6 +5,7 @@
 use crate::{Error, forward};
 
 mod room;
+mod steering;
 
 impl forward::RequestPart {
     /// Returns the id of the request that the part belongs to.
--- /dev/null
+++ b/toucanhoist-wire/src/convert/steering.rs
@@ -0,0 +1,23 @@
+use toucanhoist_core::steering::{Seen, Tag};
+
+use crate::steering;
+
+/// Requests of one target that a message counts at most; far more than end between two messages.
+const COUNT_MAX: u32 = 1_000;
+
+impl From<(&Tag, &Seen)> for steering::Seen {
+    fn from((tag, seen): (&Tag, &Seen)) -> steering::Seen {
+        let Seen { times, multiples, ends, failed } = *seen;
+        // Four digits are enough.
+        steering::Seen { tag: *tag, times, multiples: multiples as f32, ends, failed }
+    }
+}
+
+impl From<&steering::Seen> for Seen {
+    fn from(message: &steering::Seen) -> Seen {
+        let (times, ends) = (message.times.min(COUNT_MAX), message.ends.min(COUNT_MAX));
+        let multiples = f64::from(message.multiples);
+        let multiples = if multiples.is_finite() { multiples.max(0.0) } else { f64::from(times) };
+        Seen { times, multiples, ends, failed: message.failed.min(ends) }
+    }
+}
