Compress what hosts tell each other of the registry; keep what a full socket does not take

Counted by kind, 96 MB of the 260 MB between data centres were changes that hosts tell others: plain JSON, 56 kB for a configuration and 10.7 kB for 50 targets, once for each host of the region, over links of 10 Mbit/s. Over 60 kB a configuration would not have been told at all.

Ruled out: datagrams that a full socket refuses. Kept and sent in order now (peers::Backlog), they change nothing measurable in these times; the queue stays, as a change that is lost costs a question and an answer.

Test: a configuration and 50 targets must fit into 8 kB each, a fifth of a second for 30 hosts at 10 Mbit/s: 55,956 -> 7,919 bytes, 10,741 -> 1,265; plain JSON fails both.

A delta of the configuration would be smaller still.

--- a/toucanhoist-edge/src/fleet.rs
+++ b/toucanhoist-edge/src/fleet.rs
@@ -29,7 +29,7 @@
 use crate::{
     clock::Clock,
     journal::Journal,
-    peers,
+    packing, peers,
     settings::Settings,
     steer,
     store::{News, Order},
@@ -256,9 +256,9 @@
             return;
         }
         // What cannot be told is asked for, once the next word says that it is there.
-        let Ok(entries) = serde_json::to_vec(&changes.entries) else { return };
+        let Ok(packed) = packing::pack(&changes.entries) else { return };
         let Changes { topic, after, upto, .. } = *changes;
-        let packet = wire::Changes { topic: topic.number(), after, upto, entries: entries.into() };
+        let packet = wire::Changes { topic: topic.number(), after, upto, packed: packed.into() };
         self.parts.peers.send_all(self.relay.neighbours(), packet::Body::Changes(packet));
     }
 
@@ -293,7 +293,7 @@
     /// Takes in changes that a watcher tells of.
     fn changes(&mut self, now: Time, told: &wire::Changes) {
         let Some(topic) = Topic::of_number(told.topic) else { return };
-        let Ok(entries) = serde_json::from_slice::<Vec<(Key, Entry)>>(&told.entries) else {
+        let Ok(entries) = packing::unpack::<Vec<(Key, Entry)>>(&told.packed) else {
             metrics::counter!("toucanhoist_datagrams_malformed_total").increment(1);
             return;
         };
--- a/toucanhoist-edge/src/lib.rs
+++ b/toucanhoist-edge/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod headers;
 pub mod host;
 pub mod journal;
+pub mod packing;
 pub mod peers;
 pub mod recorder;
 mod server;
--- a/toucanhoist-edge/src/peers.rs
+++ b/toucanhoist-edge/src/peers.rs
@@ -6,7 +6,13 @@
 host that learns that another knows more.
 */
 
-use std::{collections::BTreeMap, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, Weak},
+    time::Duration,
+};
 
 use {
     bytes::Bytes,
@@ -17,6 +23,7 @@
     prost::Message as _,
     tokio::{
         net::{TcpListener, UdpSocket},
+        sync::Notify,
         time,
     },
     toucanhoist_core::steering::{Snapshot, Topic},
@@ -24,7 +31,11 @@
     toucanhoist_wire::steering::{Packet, packet},
 };
 
-use crate::{fleet, server};
+use crate::{fleet, packing, server};
+
+mod backlog;
+
+pub use self::backlog::Backlog;
 
 /// Largest datagram.
 const DATAGRAM_BYTES: usize = 60_000;
@@ -38,18 +49,64 @@
 /// Sends datagrams.
 #[derive(Clone, Debug)]
 pub struct Sender {
-    socket: Arc<UdpSocket>,
+    outbox: Arc<Outbox>,
+}
+
+/// A socket with the datagrams that it has not taken yet.
+#[derive(Debug)]
+struct Outbox {
+    socket: UdpSocket,
+    backlog: Mutex<Backlog>,
+    /// Told when datagrams wait, and at the end.
+    waiting: Arc<Notify>,
+}
+
+impl Outbox {
+    fn backlog(&self) -> MutexGuard<'_, Backlog> {
+        self.backlog.lock().expect("nothing panics with the backlog")
+    }
+
+    /// Sends what the socket takes now.
+    fn drain(&self) {
+        let mut backlog = self.backlog();
+        count_unsent(backlog.drain(|datagram, to| self.socket.try_send_to(datagram, to)));
+        if !backlog.is_empty() {
+            self.waiting.notify_one();
+        }
+    }
+}
+
+impl Drop for Outbox {
+    fn drop(&mut self) {
+        self.waiting.notify_one();
+    }
+}
+
+/// Sends what waits as soon as the socket takes more, until nobody sends any longer.
+async fn send_waiting(outbox: Weak<Outbox>, waiting: Arc<Notify>) {
+    loop {
+        waiting.notified().await;
+        let Some(outbox) = outbox.upgrade() else { return };
+        // An error shows again with the datagram that is sent next.
+        let _ = outbox.socket.writable().await;
+        outbox.drain();
+    }
 }
 
 impl Sender {
-    /// Binds the socket for datagrams.
+    /// Binds the socket for datagrams, and spawns the task that sends those that wait.
     ///
     /// # Errors
     ///
     /// The address cannot be bound.
     pub async fn bind(address: SocketAddr) -> io::Result<Sender> {
         let named = |error: io::Error| io::Error::new(error.kind(), format!("{address}: {error}"));
-        Ok(Sender { socket: Arc::new(UdpSocket::bind(address).await.map_err(named)?) })
+        let socket = UdpSocket::bind(address).await.map_err(named)?;
+        let waiting = Arc::<Notify>::default();
+        let outbox = Outbox { socket, backlog: Mutex::default(), waiting: Arc::clone(&waiting) };
+        let outbox = Arc::new(outbox);
+        tokio::spawn(send_waiting(Arc::downgrade(&outbox), waiting));
+        Ok(Sender { outbox })
     }
 
     /// Returns the address that the socket is bound to.
@@ -58,37 +115,33 @@
     ///
     /// The system does not tell.
     pub fn local_addr(&self) -> io::Result<SocketAddr> {
-        self.socket.local_addr()
+        self.outbox.socket.local_addr()
     }
 
-    /// Sends a datagram; one that cannot be sent at once is lost, as any datagram may be.
+    /// Sends a datagram; one that the socket does not take soon is lost, as any datagram may be.
     pub fn send(&self, to: SocketAddr, body: packet::Body) {
         self.send_all(&[to], body);
     }
 
     /// Sends a datagram to several hosts. One that is too large is not sent.
     pub fn send_all(&self, to: &[SocketAddr], body: packet::Body) {
-        let datagram = Packet { body: Some(body) }.encode_to_vec();
+        let datagram = Bytes::from(Packet { body: Some(body) }.encode_to_vec());
         if datagram.len() > DATAGRAM_BYTES {
-            metrics::counter!("toucanhoist_datagrams_unsent_total").increment(1);
+            count_unsent(1);
             return;
         }
-        for &to in to {
-            self.send_datagram(to, &datagram);
-        }
-    }
-
-    fn send_datagram(&self, to: SocketAddr, datagram: &[u8]) {
-        if self.socket.try_send_to(datagram, to).is_err() {
-            metrics::counter!("toucanhoist_datagrams_unsent_total").increment(1);
-        }
+        let mut backlog = self.outbox.backlog();
+        let lost = to.iter().filter(|to| !backlog.push(**to, datagram.clone())).count();
+        drop(backlog);
+        count_unsent(lost as u64);
+        self.outbox.drain();
     }
 
     /// Receives datagrams until `deliver` says that nobody wants them.
     pub async fn receive(self, mut deliver: impl FnMut(SocketAddr, packet::Body) -> bool) {
         let mut buffer = vec![0; DATAGRAM_BYTES];
         loop {
-            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
+            let Ok((length, from)) = self.outbox.socket.recv_from(&mut buffer).await else {
                 // A datagram to a port without a listener is reported here; the next call goes on.
                 time::sleep(Duration::from_millis(1)).await;
                 continue;
@@ -106,6 +159,12 @@
     }
 }
 
+fn count_unsent(datagrams: u64) {
+    if datagrams > 0 {
+        metrics::counter!("toucanhoist_datagrams_unsent_total").increment(datagrams);
+    }
+}
+
 /// Serves snapshots of the registry to other hosts.
 pub async fn serve(listener: TcpListener, fleet: fleet::Handle) {
     server::serve(listener, HEAD_MAX, move |request| answer(fleet.clone(), request)).await;
@@ -116,7 +175,7 @@
         return server::plain(StatusCode::NOT_FOUND);
     }
     let known = request.uri().query().map(versions).unwrap_or_default();
-    match fleet.newer(known).await.map(|snapshot| serde_json::to_vec(&snapshot)) {
+    match fleet.newer(known).await.map(|snapshot| packing::pack(&snapshot)) {
         Some(Ok(content)) => Response::new(Full::new(content.into())),
         _ => server::plain(StatusCode::SERVICE_UNAVAILABLE),
     }
@@ -155,5 +214,5 @@
     let answer = sender.send_request(request).await.map_err(io::Error::other)?;
     let content = answer.into_body().collect().await.map_err(io::Error::other)?.to_bytes();
     driver.abort();
-    serde_json::from_slice(&content).map_err(Into::into)
+    packing::unpack(&content)
 }
