Hosts with the largest machines watch, and are named to callers

(2) All 83 hosts share the callers: a dozen requests a second each for 651 targets, 52,771 new connections for 84,000 requests, and little known of each target.

Change: settings take what the machine gives (processor share, link), the host registers it as one figure. The order of steering::relay is by that figure first. The directory names the largest machines that make up half of a region's capacity, eight at least (steering::naming); the others serve as well and are named when those are gone. Without figures nothing changes. The small sites have eight hosts, so that all are named there.

How much of the capacity to name is a guess until it follows the demand.

--- a/toucanhoist-core/src/steering.rs
+++ b/toucanhoist-core/src/steering.rs
@@ -17,6 +17,7 @@
 mod desk;
 mod lapse;
 mod load;
+mod naming;
 mod registry;
 mod relay;
 mod touch;
@@ -31,6 +32,7 @@
     config::{AccountTerms, Config, Host, Limits, Part, Route, Routes, ServiceTerms},
     desk::{Desk, Settings, TELL_HOSTS_MIN, TELL_INTERVAL, Tag},
     load::{Load, Reading, Report, Seen},
+    naming::named,
     registry::{Entry, EntryHost, Key, Registry, Snapshot, Target, TargetState, Topic, Value},
     relay::{Relay, WORD_INTERVAL},
     touch::Touch,
--- a/toucanhoist-core/src/steering/registry.rs
+++ b/toucanhoist-core/src/steering/registry.rs
@@ -139,6 +139,9 @@
     pub peers: SocketAddr,
     /// Number of its process, higher with each start.
     pub epoch: u64,
+    /// What its machine gives it, as a figure to compare; 0 if it does not say.
+    #[serde(default)]
+    pub capacity: u32,
 }
 
 /// An entry; without value it has been removed.
--- a/toucanhoist-core/src/steering/relay.rs
+++ b/toucanhoist-core/src/steering/relay.rs
@@ -1,8 +1,9 @@
 //! Which hosts of a region follow the store, and tell the others.
 //!
 //! Each call to the store costs, and its rate is bounded over the whole fleet. So a few watchers of each
-//! region follow it, the first ones in an order by rendezvous hashing of the live members, and tell the
-//! others of each change, and at short intervals how far they are. When too few in touch with the store are
+//! region follow it, the first ones in an order of the live members, and tell the others of each change, and at
+//! short intervals how far they are. The order is by the capacity of their machines, since what they tell goes
+//! through their link many times, and by rendezvous hashing among equals. When too few in touch with the store are
 //! heard, the others step in by the same order, one after another: who hears enough hosts before it in the
 //! order rests. So two hosts tell the others whichever are turned away by the store, cut off or slow.
 
@@ -40,7 +41,11 @@
     settled: Time,
     /// Last word of each host in touch with the store.
     heard: BTreeMap<SocketAddr, Time>,
-    /// Live hosts of the region in their order.
+    /// What the machines of hosts give them; 0 for a host that does not say.
+    capacities: BTreeMap<id::EntryHost, u32>,
+    /// Live hosts of the region.
+    near: Vec<(id::EntryHost, SocketAddr)>,
+    /// Their addresses in their order.
     order: Vec<SocketAddr>,
     /// This host's place in the order; `None` until it is known as live.
     place: Option<usize>,
@@ -65,6 +70,8 @@
             started: now,
             settled: if first_start { now + SETTLE } else { now },
             heard: BTreeMap::new(),
+            capacities: BTreeMap::new(),
+            near: Vec::new(),
             order: Vec::new(),
             place: None,
             neighbours: Vec::new(),
@@ -82,12 +89,27 @@
             self.is_near(&member.data_centre)
                 && matches!(member.state, State::Live | State::Suspect)
         };
-        let mut near: Vec<&Member> = view.members.iter().filter(is_near).collect();
-        let others = near.iter().filter(|member| member.name != self.host);
-        self.neighbours = others.map(|member| member.peers).collect();
-        near.sort_by_key(|member| std::cmp::Reverse(score(member.name.as_str(), "watcher")));
-        self.place = near.iter().position(|member| member.name == self.host);
-        self.order = near.iter().map(|member| member.peers).collect();
+        let near = view.members.iter().filter(is_near);
+        self.near = near.map(|member| (member.name.clone(), member.peers)).collect();
+        let others = self.near.iter().filter(|(name, _)| *name != self.host);
+        self.neighbours = others.map(|(_, peers)| *peers).collect();
+        self.arrange();
+    }
+
+    /// Takes in what the machines of hosts give them.
+    pub fn set_capacities(&mut self, capacities: BTreeMap<id::EntryHost, u32>) {
+        self.capacities = capacities;
+        self.arrange();
+    }
+
+    fn arrange(&mut self) {
+        let rank = |name: &id::EntryHost| {
+            let capacity = self.capacities.get(name).copied().unwrap_or_default();
+            std::cmp::Reverse((capacity, score(name.as_str(), "watcher")))
+        };
+        self.near.sort_by_cached_key(|(name, _)| rank(name));
+        self.place = self.near.iter().position(|(name, _)| *name == self.host);
+        self.order = self.near.iter().map(|(_, peers)| *peers).collect();
     }
 
     /// Takes in the word of a host that is in touch with the store.
--- a/toucanhoist-core/tests/steering.rs
+++ b/toucanhoist-core/tests/steering.rs
@@ -12,6 +12,8 @@
 mod lapse;
 #[path = "steering/load.rs"]
 mod load;
+#[path = "steering/naming.rs"]
+mod naming;
 #[path = "steering/registry.rs"]
 mod registry;
 #[path = "steering/relay.rs"]
--- a/toucanhoist-core/tests/steering/relay.rs
+++ b/toucanhoist-core/tests/steering/relay.rs
@@ -52,6 +52,19 @@
     assert!(next.contains(&first[1]), "the other one stays");
 }
 
+#[test]
+fn hosts_with_the_largest_machines_watch() {
+    let capacities = [(1, 10), (2, 50), (4, 20), (5, 50), (6, 10), (7, 40)];
+    let capacities = capacities.map(|(number, capacity)| (name(&format!("h{number}")), capacity));
+    let is_watcher = |number: &u16| {
+        let mut relay = relay(*number, if number % 2 == 0 { "n1" } else { "n2" });
+        relay.set_view(&view(&[]));
+        relay.set_capacities(capacities.clone().into());
+        relay.is_active(at(500))
+    };
+    assert_eq!((1..=8).filter(is_watcher).collect::<Vec<_>>(), [2, 5]);
+}
+
 #[test]
 fn watchers_tell_the_hosts_of_their_region() {
     let mut relay = relay(2, "n1");
--- a/toucanhoist-edge/src/directory.rs
+++ b/toucanhoist-edge/src/directory.rs
@@ -11,6 +11,7 @@
     toucanhoist_core::{
         id,
         membership::{State, View},
+        steering::named,
     },
 };
 
@@ -94,35 +95,41 @@
     answer
 }
 
-/// Returns the addresses of the hosts of a region, or of all where there is none.
+/// Returns the addresses of the hosts that callers of a region may use, or of all where there is none.
 fn addresses(
     shared: &Shared,
     region: Option<&id::Region>,
     own: Option<SocketAddr>,
 ) -> Vec<SocketAddr> {
-    let view = shared.fleet.view();
+    let (view, capacities) = (shared.fleet.view(), shared.fleet.capacities());
     let settings = &shared.settings;
+    let capacity = |name: &id::EntryHost| capacities.get(name).copied().unwrap_or_default();
     let near = |data_centre: &id::DataCentre| {
         region.is_none() || settings.regions.get(data_centre) == region
     };
-    let others = |view: &View, near: &dyn Fn(&id::DataCentre) -> bool| -> Vec<SocketAddr> {
+    let others = |view: &View, near: &dyn Fn(&id::DataCentre) -> bool| -> Vec<Found> {
         view.members
             .iter()
             .filter(|member| member.state == State::Live && member.name != settings.name)
             .filter(|member| near(&member.data_centre))
-            .filter_map(|member| member.callers.parse().ok())
+            .filter_map(|member| Some((capacity(&member.name), member.callers.parse().ok()?)))
             .collect()
     };
+    let own = own.map(|own| (capacity(&settings.name), own));
     let mut found = others(&view, &near);
     found.extend(own.filter(|_| near(&settings.data_centre)));
     if found.is_empty() {
         found = others(&view, &|_| true);
         found.extend(own);
     }
-    found.truncate(ADDRESSES_MAX);
-    found
+    let mut named = named(found);
+    named.truncate(ADDRESSES_MAX);
+    named
 }
 
+/// What a host's machine gives it, and its address.
+type Found = (u32, SocketAddr);
+
 fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
     query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
 }
--- a/toucanhoist-edge/src/fleet.rs
+++ b/toucanhoist-edge/src/fleet.rs
@@ -80,9 +80,13 @@
     queue: mpsc::Sender<Input>,
     routes: watch::Receiver<Option<Arc<Routes>>>,
     view: watch::Receiver<Arc<View>>,
+    capacities: watch::Receiver<Arc<Capacities>>,
     order: watch::Receiver<Order>,
 }
 
+/// What the machines of hosts give them.
+pub type Capacities = BTreeMap<id::EntryHost, u32>;
+
 impl Handle {
     /// Returns what says whether the host follows the store.
     pub fn order(&self) -> watch::Receiver<Order> {
@@ -99,6 +103,11 @@
         Arc::clone(&self.view.borrow())
     }
 
+    /// Returns what the machines of hosts give them, as far as they have registered.
+    pub fn capacities(&self) -> Arc<Capacities> {
+        Arc::clone(&self.capacities.borrow())
+    }
+
     /// Returns what the registry knows beyond versions.
     pub async fn newer(&self, known: BTreeMap<Topic, u64>) -> Option<Snapshot> {
         let (reply, snapshot) = oneshot::channel();
@@ -152,6 +161,7 @@
     let (queue, inputs) = mpsc::channel(1_024);
     let (routes, routes_read) = watch::channel(None);
     let (view, view_read) = watch::channel(Arc::new(View::default()));
+    let (capacities, capacities_read) = watch::channel(Arc::default());
     let (order, order_read) = watch::channel(Order::default());
     let me = Member {
         name: parts.settings.name.clone(),
@@ -184,10 +194,17 @@
         queue: queue.clone(),
         routes,
         view,
+        capacities,
         order,
     };
     tokio::spawn(task.run(inputs));
-    Handle { queue, routes: routes_read, view: view_read, order: order_read }
+    Handle {
+        queue,
+        routes: routes_read,
+        view: view_read,
+        capacities: capacities_read,
+        order: order_read,
+    }
 }
 
 struct Task {
@@ -203,6 +220,7 @@
     queue: mpsc::Sender<Input>,
     routes: watch::Sender<Option<Arc<Routes>>>,
     view: watch::Sender<Arc<View>>,
+    capacities: watch::Sender<Arc<Capacities>>,
     order: watch::Sender<Order>,
 }
 
--- a/toucanhoist-edge/src/fleet/publish.rs
+++ b/toucanhoist-edge/src/fleet/publish.rs
@@ -12,7 +12,7 @@
     steering::{Key, Routes, Value},
 };
 
-use super::Task;
+use super::{Capacities, Task};
 use crate::steer;
 
 impl Task {
@@ -76,6 +76,10 @@
                 hosts.insert(name.clone(), host.clone());
             }
         }
+        let capacities = hosts.iter().map(|(name, host)| (name.clone(), host.capacity));
+        let capacities: Capacities = capacities.collect();
+        self.capacities.send_replace(Arc::new(capacities.clone()));
+        self.relay.set_capacities(capacities);
         let own = &self.parts.settings.name;
         let others = hosts.iter().filter(|(name, _)| *name != own).map(|(_, host)| host.peers);
         self.detector.suggest(others);
--- a/toucanhoist-edge/src/host.rs
+++ b/toucanhoist-edge/src/host.rs
@@ -256,6 +256,7 @@
         callers: settings.listen.callers,
         peers: settings.listen.peers,
         epoch,
+        capacity: settings.machine.capacity(),
     };
     tokio::spawn(store::register(Arc::clone(store), settings.name.clone(), own));
     let (news, heard) = mpsc::channel(NEWS_MAX);
--- a/toucanhoist-edge/src/settings.rs
+++ b/toucanhoist-edge/src/settings.rs
@@ -31,10 +31,32 @@
     pub first_start: bool,
     /// Address of the store.
     pub store: SocketAddr,
+    /// What the machine gives the host.
+    #[serde(default)]
+    pub machine: Machine,
     /// Bounds that the fleet keeps.
     pub bounds: Bounds,
 }
 
+/// What a machine gives an entry host; without it the host takes no duty for others before hosts that say.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default)]
+pub struct Machine {
+    /// Part of a processor's time.
+    pub processor_share: f64,
+    /// Capacity of its link, in Mbit/s.
+    pub link_mbps: f64,
+}
+
+impl Machine {
+    /// Returns a figure to compare machines by, for duties that take both: a hundredth of a processor goes
+    /// with 1 Mbit/s.
+    pub fn capacity(&self) -> u32 {
+        // A figure without fraction is enough, and a cast keeps within its range.
+        (self.processor_share * 100.0).min(self.link_mbps).max(0.0) as u32
+    }
+}
+
 /// Addresses that an entry host listens on.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Listen {
--- a/toucanhoist-edge/tests/support/mod.rs
+++ b/toucanhoist-edge/tests/support/mod.rs
@@ -29,7 +29,7 @@
     toucanhoist_edge::{
         dialect::Dialect,
         host::Edge,
-        settings::{Bounds, Listen, Settings},
+        settings::{Bounds, Listen, Machine, Settings},
         store::{Batch, Error, Store},
     },
 };
@@ -326,6 +326,7 @@
         seeds,
         first_start: true,
         store: any,
+        machine: Machine::default(),
         bounds: Bounds {
             grace_s: Duration::from_secs(6),
             retry_ratio: 0.2,
