--- a/toucanhoist-edge/src/fleet.rs
+++ b/toucanhoist-edge/src/fleet.rs
@@ -3,7 +3,8 @@
 
 It takes what the store says, what other hosts' snapshots say, and the detector's datagrams. It publishes
 the routes in force and the members, and tells the [`steer`](crate::steer) task of each change
-([`publish`]). Removals of targets right after an absence of the store wait ([`lapse`]).
+([`publish`]). What hosts tell each other of the registry is in [`exchange`]. Removals of targets right
+after an absence of the store wait ([`lapse`]).
 */
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
@@ -18,23 +19,21 @@
         event::Event,
         id,
         membership::{self, Detector, Incarnation, Member, Message, State, View},
-        steering::{
-            CatchUp, Changes, Entry, Key, Registry, Relay, Routes, Snapshot, Topic, Touch,
-            WORD_INTERVAL,
-        },
+        steering::{CatchUp, Registry, Relay, Routes, Snapshot, Topic, Touch},
     },
-    toucanhoist_wire::steering::{self as wire, Reach, TopicVersion, packet},
+    toucanhoist_wire::steering::{self as wire, Reach, packet},
 };
 
 use crate::{
     clock::Clock,
     journal::Journal,
-    packing, peers,
+    peers,
     settings::Settings,
     steer,
     store::{News, Order},
 };
 
+mod exchange;
 mod lapse;
 mod publish;
 
@@ -251,35 +250,6 @@
         self.give_order(now);
     }
 
-    /// Whether this host tells the others of its region what the store says.
-    fn is_telling(&self, now: Time) -> bool {
-        self.relay.is_active(now) && self.touch.is_whole()
-    }
-
-    /// Tells how far this host is, if it follows the store and is in touch with it.
-    fn tell(&mut self, now: Time) {
-        let claims = self.registry.claims();
-        let is_due = now >= self.told + WORD_INTERVAL && claims.len() == Topic::ALL.len();
-        if !is_due || !self.is_telling(now) {
-            return;
-        }
-        self.told = now;
-        let word = |(topic, version): (Topic, u64)| TopicVersion { topic: topic.number(), version };
-        let versions = claims.into_iter().map(word).collect();
-        self.parts.peers.send_all(self.relay.neighbours(), packet::Body::Reach(Reach { versions }));
-    }
-
-    fn tell_changes(&self, now: Time, changes: &Changes) {
-        if !self.is_telling(now) || changes.entries.is_empty() {
-            return;
-        }
-        // What cannot be told is asked for, once the next word says that it is there.
-        let Ok(packed) = packing::pack(&changes.entries) else { return };
-        let Changes { topic, after, upto, .. } = *changes;
-        let packet = wire::Changes { topic: topic.number(), after, upto, packed: packed.into() };
-        self.parts.peers.send_all(self.relay.neighbours(), packet::Body::Changes(packet));
-    }
-
     /// Says whether this host follows the store, and from where.
     fn give_order(&mut self, now: Time) {
         let is_active = self.relay.is_active(now);
@@ -294,32 +264,6 @@
         });
     }
 
-    /// Takes in how far a watcher is.
-    fn reached(&mut self, now: Time, from: SocketAddr, reach: &Reach) {
-        self.relay.heard(now, from);
-        self.touch.hear(now);
-        let is_ahead = reach.versions.iter().any(|told| {
-            let topic = Topic::of_number(told.topic);
-            topic.is_some_and(|topic| self.registry.version(topic).is_none_or(|v| v < told.version))
-        });
-        if is_ahead {
-            self.catch_up.hear_watcher(from);
-            self.pull(now);
-        }
-    }
-
-    /// Takes in changes that a watcher tells of.
-    fn changes(&mut self, now: Time, told: &wire::Changes) {
-        let Some(topic) = Topic::of_number(told.topic) else { return };
-        let Ok(entries) = packing::unpack::<Vec<(Key, Entry)>>(&told.packed) else {
-            metrics::counter!("toucanhoist_datagrams_malformed_total").increment(1);
-            return;
-        };
-        let changes = Changes { topic, after: told.after, upto: told.upto, entries };
-        let changed = self.registry.hear(&changes);
-        self.publish(now, &changed);
-    }
-
     fn take(&mut self, input: Input) {
         let now = self.parts.clock.now();
         match input {
@@ -374,37 +318,6 @@
         self.give_order(now);
     }
 
-    /// Compares what a host knows with what this one knows.
-    fn compare(&mut self, now: Time, message: &Message) {
-        let (from, version) = (&message.from, message.revision.as_u64());
-        self.touch.hear_version(now, version);
-        let is_near = self.relay.is_near(&from.data_centre);
-        self.catch_up.hear(now, self.registry.complete(), from.peers, is_near, version);
-    }
-
-    /// Asks another host for its snapshot, if the store has not brought what it knows.
-    fn pull(&mut self, now: Time) {
-        let Some(from) = self.catch_up.ask(now, self.registry.complete()) else { return };
-        let queue = self.queue.clone();
-        let known = self.registry.versions().clone();
-        tokio::spawn(async move {
-            // A host that does not answer is asked again when it next says that it knows more.
-            if let Ok(snapshot) = peers::newer(from, known).await {
-                let _ = queue.send(Input::Snapshot(from, snapshot)).await;
-            }
-        });
-    }
-
-    fn merge(&mut self, now: Time, from: SocketAddr, snapshot: Snapshot) {
-        let first = self.routes.borrow().is_none();
-        let entries = self.set_aside(now, snapshot.entries);
-        let changed = self.registry.merge(Snapshot { entries, ..snapshot });
-        if first && changed.contains(&Key::Config) {
-            self.parts.journal.note(Event::ConfigurationFromPeers, &[("from", &from)]);
-        }
-        self.publish(now, &changed);
-    }
-
     fn send(&self, sends: Vec<membership::Send>) {
         for send in sends {
             self.parts.peers.send(send.to, packet::Body::Membership(send.message.into()));
