Soak: a target stops counting a request when its connection ends

Logs: all 36 refusals were one host's, "no-room" after 240 ms, in a region with two targets of which one was mute; the other told of 3.5 to 4.7 of six slots busy while each of its requests took 28 ms, nine a second. The soak's target raised its count, slept, and lowered it; when the caller's connection ended in between, the rest of the work was dropped with it, and the count stayed.

Ruled out: the product's own count (its requests there had ended, and all hosts had started anew); cold targets (the soak has none). The shift cap then kept the host from sending more to other regions, as it should.

Change: the count falls when the work ends in whatever way. No bound is touched.

--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -128,6 +128,22 @@
     }
 }
 
+/// A request that runs, until it ends or its connection does.
+struct Running<'a>(&'a AtomicU32);
+
+impl Running<'_> {
+    fn begin(running: &AtomicU32) -> Running<'_> {
+        running.fetch_add(1, Ordering::Relaxed);
+        Running(running)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 async fn serve(listener: TcpListener, shared: Arc<Shared>) {
     while let Ok((stream, _)) = listener.accept().await {
         let shared = Arc::clone(&shared);
@@ -164,10 +180,10 @@
         self.check_leaving(&id);
         let key = head.headers.contains_key("authorization");
         self.ledger.ran(&id, text(&head.headers, "x-tenant"), key);
-        self.running.fetch_add(1, Ordering::Relaxed);
+        let running = Running::begin(&self.running);
         let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
         time::sleep(if fault == Fault::Slow { WORK * 20 } else { WORK }).await;
-        self.running.fetch_sub(1, Ordering::Relaxed);
+        drop(running);
         match fault {
             Fault::Mute => std::future::pending().await,
             Fault::Close => Err(io::Error::other("closed")),
