Tell only what was seen of a target in the last second, and bound what is heard

Cause, found by reading the change again: what a host has seen of its targets is collected for the other hosts of its region, but in a region of fewer than five hosts nobody takes it. When a fifth host came, the whole history would have been told at once; the receiver bounds the requests of a message to 1,000 but not the sum of their times, so that a mean of hundreds would have made all targets look slow for some seconds.

Ruled out: bounding it where messages are read only; a host that was paused for long tells old news too.

Change: Load drops what is older than a second, also when it is taken; a mean is bounded as an own time is.

Two tests in steering seen fail without it: 600 requests of a minute were told instead of the last second's, and a figure beyond measure kept a target out for good.

--- a/toucanhoist-core/src/steering/load.rs
+++ b/toucanhoist-core/src/steering/load.rs
@@ -23,6 +23,8 @@
 const FAILING_PART: f64 = 0.1;
 /// Weight of a request of another host, as a part of an own one's: it may reach the target on other ways.
 const SEEN_PART: f64 = 0.5;
+/// Time for which what was seen is collected for other hosts, if nobody takes it; older news is no news.
+const SEEN_MAX: Duration = Duration::from_secs(1);
 /// Time for which an unreachable target is left alone; it doubles with each failure.
 const CLOSED_FIRST: Duration = Duration::from_millis(250);
 const CLOSED_MAX: Duration = Duration::from_secs(2);
@@ -90,8 +92,9 @@
     slowness: f64,
     failing: f64,
     learned: Time,
-    /// What was seen since other hosts were last told.
+    /// What was seen since other hosts were last told, and since when.
     seen: Seen,
+    seen_since: Time,
     closed_until: Time,
     closed_for: Duration,
     objects: VecDeque<u64>,
@@ -108,6 +111,7 @@
             failing: 0.0,
             learned: Time::ZERO,
             seen: Seen::default(),
+            seen_since: Time::ZERO,
             closed_until: Time::ZERO,
             closed_for: CLOSED_FIRST,
             objects: VecDeque::new(),
@@ -195,16 +199,12 @@
     /// Learns a request's time, as a multiple of what was expected.
     pub fn took(&mut self, now: Time, multiple: f64) {
         let multiples = multiple.clamp(SLOWNESS_MIN, SLOWNESS_MAX);
-        let seen = Seen { times: 1, multiples, ..Seen::default() };
-        self.learn(now, &seen, 1.0);
-        self.seen.add(seen);
+        self.see(now, Seen { times: 1, multiples, ..Seen::default() });
     }
 
     /// Learns whether a request failed there.
     pub fn ended(&mut self, now: Time, failed: bool) {
-        let seen = Seen { ends: 1, failed: u32::from(failed), ..Seen::default() };
-        self.learn(now, &seen, 1.0);
-        self.seen.add(seen);
+        self.see(now, Seen { ends: 1, failed: u32::from(failed), ..Seen::default() });
         if !failed {
             (self.closed_until, self.closed_for) = (Time::ZERO, CLOSED_FIRST);
         }
@@ -218,13 +218,29 @@
     /// Returns what was seen since the last call, if other hosts should know: the target is slow or
     /// failing, or they may take it to be.
     pub fn news(&mut self, now: Time) -> Option<Seen> {
+        self.drop_old(now);
         let seen = std::mem::take(&mut self.seen);
+        self.seen_since = now;
         let known = self.read(now);
         let is_known_bad = known.slowness > SLOW_MULTIPLE || known.failing > FAILING_PART;
         let any = seen.times + seen.ends > 0;
         (any && (is_known_bad || seen.is_bad())).then_some(seen)
     }
 
+    /// Learns from an own request, and keeps it for other hosts.
+    fn see(&mut self, now: Time, seen: Seen) {
+        self.learn(now, &seen, 1.0);
+        self.drop_old(now);
+        self.seen.add(seen);
+    }
+
+    /// Drops what was seen too long ago to tell.
+    fn drop_old(&mut self, now: Time) {
+        if now >= self.seen_since + SEEN_MAX {
+            (self.seen, self.seen_since) = (Seen::default(), now);
+        }
+    }
+
     fn learn(&mut self, now: Time, seen: &Seen, part: f64) {
         let Reading { slowness, failing, .. } = self.read(now);
         // Each of several requests counts as much as if it had ended alone.
@@ -232,7 +248,8 @@
         let mean = |sum: f64, count: u32| sum / f64::from(count.max(1));
         let times = weight(SLOWNESS_WEIGHT, seen.times);
         let ends = weight(FAILURE_WEIGHT, seen.ends);
-        self.slowness = slowness + (mean(seen.multiples, seen.times) - slowness) * times;
+        let multiple = mean(seen.multiples, seen.times).clamp(SLOWNESS_MIN, SLOWNESS_MAX);
+        self.slowness = slowness + (multiple - slowness) * times;
         self.failing = failing + (mean(f64::from(seen.failed), seen.ends) - failing) * ends;
         self.learned = now;
     }
--- a/toucanhoist-core/tests/steering/seen.rs
+++ b/toucanhoist-core/tests/steering/seen.rs
@@ -93,6 +93,29 @@
     assert!(goes_to_first(&mut hosts[1], 30_000));
 }
 
+#[test]
+fn what_was_seen_long_ago_is_not_told() {
+    let mut host = host(1);
+    // Nobody is told for a minute, as in a region of few hosts.
+    for number in 0..600 {
+        let now = at(number * 100);
+        let ticket = place(&mut host, now, ask(number, now)).expect("a place");
+        host.end(now, &ticket, Outcome::Broken);
+    }
+    let told: u32 = host.seen(at(60_000)).values().map(|seen| seen.ends).sum();
+    assert!((1..=10).contains(&told), "{told} requests, ten of which ended in the last second");
+}
+
+#[test]
+fn a_figure_beyond_measure_counts_as_very_slow() {
+    let mut hosts: Vec<Desk> = (0..2).map(host).collect();
+    let tag = first_tag(&mut hosts[0]);
+    hosts[1].hear(at(0), name("h0"), HashMap::new());
+    hosts[1].hear_seen([(tag, Seen { times: 1_000, multiples: 1e9, ..Seen::default() })]);
+    assert!(!goes_to_first(&mut hosts[1], 100));
+    assert!(goes_to_first(&mut hosts[1], 40_000), "it never takes requests again");
+}
+
 /// Returns the first target's tag, as a host tells it.
 fn first_tag(host: &mut Desk) -> u32 {
     let mut number = 0;
