Derive the order of hosts, name one silence, look at the time first

steering::relay kept the order of hosts twice (near, order); touch repeated relay's SILENCE_MAX with a remark that both are the same; exchange::tell made a map of claims at each tick before it looked whether a word is due.

--- a/toucanhoist-core/src/steering/relay.rs
+++ b/toucanhoist-core/src/steering/relay.rs
@@ -19,7 +19,7 @@
 const WATCHERS: usize = 2;
 /// Time without word from enough hosts after which the next one steps in: two intervals of their word, and
 /// a part of the time in which changes must be in force.
-const SILENCE_MAX: Duration = Duration::from_millis(1_200);
+pub(super) const SILENCE_MAX: Duration = Duration::from_millis(1_200);
 /// Time that a host has to step in and tell before the next one does: a call to the store and a tick.
 const STEP: Duration = Duration::from_millis(200);
 /// Time for which a word is kept; more than any host waits for one.
@@ -43,10 +43,8 @@
     heard: BTreeMap<SocketAddr, Time>,
     /// What the machines of hosts give them; 0 for a host that does not say.
     capacities: BTreeMap<id::EntryHost, u32>,
-    /// Live hosts of the region.
+    /// Live hosts of the region in their order.
     near: Vec<(id::EntryHost, SocketAddr)>,
-    /// Their addresses in their order.
-    order: Vec<SocketAddr>,
     /// This host's place in the order; `None` until it is known as live.
     place: Option<usize>,
     neighbours: Vec<SocketAddr>,
@@ -72,7 +70,6 @@
             heard: BTreeMap::new(),
             capacities: BTreeMap::new(),
             near: Vec::new(),
-            order: Vec::new(),
             place: None,
             neighbours: Vec::new(),
         }
@@ -109,7 +106,6 @@
         };
         self.near.sort_by_cached_key(|(name, _)| rank(name));
         self.place = self.near.iter().position(|(name, _)| *name == self.host);
-        self.order = self.near.iter().map(|(_, peers)| *peers).collect();
     }
 
     /// Takes in the word of a host that is in touch with the store.
@@ -133,7 +129,8 @@
     fn enough_until(&self, place: usize) -> Time {
         // A host that is not known yet counts as before this one.
         let is_before = |from: &SocketAddr| {
-            self.order.iter().position(|peer| peer == from).is_none_or(|theirs| theirs < place)
+            let theirs = self.near.iter().position(|(_, peers)| peers == from);
+            theirs.is_none_or(|theirs| theirs < place)
         };
         let before = self.heard.iter().filter(|(from, _)| is_before(from));
         let mut words: Vec<Time> = before.map(|(_, heard)| *heard).collect();
--- a/toucanhoist-core/src/steering/touch.rs
+++ b/toucanhoist-core/src/steering/touch.rs
@@ -6,16 +6,13 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::Topic;
+use super::{Topic, relay::SILENCE_MAX};
 use crate::clock::Time;
 
 /// Time for which removals wait once the store is back; targets renew their entries within two seconds.
 const LAPSE_HOLD: Duration = Duration::from_millis(2_200);
 /// Absence of the store after which entries may have lapsed; a part of the shortest heartbeat.
 const ABSENCE_MIN: Duration = Duration::from_millis(700);
-/// Time without the word of a host in touch after which the store counts as away for all: the same as for
-/// following it ([`Relay`](super::Relay)).
-const SILENCE_MAX: Duration = Duration::from_millis(1_200);
 /// Time in which what was written before the store went away has reached all hosts.
 const SPREAD: Duration = Duration::from_millis(1_500);
 
@@ -50,7 +47,8 @@
         now >= self.since + SPREAD
     }
 
-    /// Takes in a sign that the store serves somebody.
+    /// Takes in a sign that the store serves somebody. When the words of hosts in touch have stopped in
+    /// between, it was away for all since.
     fn sign(&mut self, now: Time) -> Time {
         let is_silent = self.word.is_some_and(|word| now >= word + SILENCE_MAX);
         let back = self.back.filter(|_| !is_silent).unwrap_or(now);
--- a/toucanhoist-edge/src/fleet/exchange.rs
+++ b/toucanhoist-edge/src/fleet/exchange.rs
@@ -26,9 +26,11 @@
 
     /// Tells how far this host is, if it follows the store and is in touch with it.
     pub(super) fn tell(&mut self, now: Time) {
+        if now < self.told + WORD_INTERVAL || !self.is_telling(now) {
+            return;
+        }
         let claims = self.registry.claims();
-        let is_due = now >= self.told + WORD_INTERVAL && claims.len() == Topic::ALL.len();
-        if !is_due || !self.is_telling(now) {
+        if claims.len() < Topic::ALL.len() {
             return;
         }
         self.told = now;
