--- a/toucanhoist-core/src/steering.rs
+++ b/toucanhoist-core/src/steering.rs
@@ -15,6 +15,7 @@
 mod cold;
 mod config;
 mod desk;
+mod entry;
 mod lapse;
 mod load;
 mod mirror;
@@ -35,11 +36,12 @@
     cold::ColdLimit,
     config::{AccountTerms, Config, Host, Limits, Part, Route, Routes, ServiceTerms},
     desk::{Desk, Settings, TELL_HOSTS_MIN, TELL_INTERVAL, Tag},
+    entry::{Entry, EntryHost, Key, Target, TargetState, Topic, Value},
     load::{Load, Reading, Report, Seen},
     mirror::{Mirror, Taken},
     naming::named,
     priming::Priming,
-    registry::{Entry, EntryHost, Key, Registry, Snapshot, Target, TargetState, Topic, Value},
+    registry::{Registry, Snapshot},
     relay::{Relay, WORD_INTERVAL},
     touch::Touch,
     version::{Era, Version},
--- /dev/null
+++ b/toucanhoist-core/src/steering/entry.rs
@@ -0,0 +1,149 @@
+//! What the registry holds of operators, targets and entry hosts.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use super::{Config, Version};
+use crate::id;
+
+/// A group of entries that is read and followed together.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Topic {
+    /// What operators ask for.
+    Operator,
+    /// Targets that registered themselves.
+    Targets,
+    /// Entry hosts.
+    Hosts,
+}
+
+impl Topic {
+    /// Every topic.
+    pub const ALL: [Topic; 3] = [Topic::Operator, Topic::Targets, Topic::Hosts];
+
+    /// Returns the topic's number in messages between hosts.
+    pub fn number(self) -> u32 {
+        match self {
+            Topic::Operator => 0,
+            Topic::Targets => 1,
+            Topic::Hosts => 2,
+        }
+    }
+
+    /// Returns the topic of a number.
+    pub fn of_number(number: u32) -> Option<Topic> {
+        Topic::ALL.into_iter().find(|topic| topic.number() == number)
+    }
+
+    /// Returns the name that logs use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Topic::Operator => "operator",
+            Topic::Targets => "targets",
+            Topic::Hosts => "hosts",
+        }
+    }
+}
+
+/// Name of an entry.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Key {
+    /// The configuration.
+    Config,
+    /// Evacuation of a data centre.
+    Evacuation(id::DataCentre),
+    /// A target.
+    Target(id::Target),
+    /// An entry host.
+    Host(id::EntryHost),
+}
+
+impl Key {
+    /// Returns the topic that the entry belongs to.
+    pub fn topic(&self) -> Topic {
+        match self {
+            Key::Config | Key::Evacuation(_) => Topic::Operator,
+            Key::Target(_) => Topic::Targets,
+            Key::Host(_) => Topic::Hosts,
+        }
+    }
+}
+
+/// Content of an entry.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Value {
+    /// The configuration.
+    Config(Arc<Config>),
+    /// A data centre is under evacuation.
+    Evacuation,
+    /// A target.
+    Target(Target),
+    /// An entry host.
+    Host(EntryHost),
+    /// Something that cannot be read; it names nothing to use.
+    Unreadable,
+}
+
+/// State that a target reports.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum TargetState {
+    /// It takes requests.
+    Ready,
+    /// It is leaving.
+    Draining,
+}
+
+impl TargetState {
+    /// Returns the state's name.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            TargetState::Ready => "ready",
+            TargetState::Draining => "draining",
+        }
+    }
+}
+
+/// A target as it registered itself.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Target {
+    /// Service that it runs.
+    pub service: id::Service,
+    /// Address.
+    pub address: SocketAddr,
+    /// Data centre that it is in.
+    pub data_centre: id::DataCentre,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// State.
+    pub state: TargetState,
+    /// Time for which it was still cold when it wrote the entry.
+    pub cold_left: Duration,
+    /// Time of its start, which tells one incarnation from the next.
+    pub born: u64,
+}
+
+/// An entry host as it registered itself.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EntryHost {
+    /// Data centre that it is in.
+    pub data_centre: id::DataCentre,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for other entry hosts.
+    pub peers: SocketAddr,
+    /// Number of its process, higher with each start.
+    pub epoch: u64,
+    /// What its machine gives it, as a figure to compare; 0 if it does not say.
+    #[serde(default)]
+    pub capacity: u32,
+}
+
+/// An entry; without value it has been removed.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Entry {
+    /// Version that the store gave it.
+    pub version: Version,
+    /// Content.
+    pub value: Option<Value>,
+}
--- a/toucanhoist-core/src/steering/load.rs
+++ b/toucanhoist-core/src/steering/load.rs
@@ -139,10 +139,14 @@
     /// report is old.
     pub fn busy(&self, now: Time, usual: f64) -> f64 {
         let known = f64::from(self.own) + self.told;
-        let age = now.since(self.reported).as_secs_f64();
-        let report_counts = (-age / REPORT_FADE_S).exp();
-        let unreported = (usual - known).max(0.0) * (1.0 - report_counts);
-        (known + self.untold * report_counts + unreported).max(f64::from(self.own))
+        let fade = self.report_fade(now);
+        let unreported = (usual - known).max(0.0) * (1.0 - fade);
+        (known + self.untold * fade + unreported).max(f64::from(self.own))
+    }
+
+    /// Returns how much the last report still counts.
+    fn report_fade(&self, now: Time) -> f64 {
+        (-now.since(self.reported).as_secs_f64() / REPORT_FADE_S).exp()
     }
 
     /// Sets the requests that other hosts tell of.
@@ -188,8 +192,7 @@
     pub fn report(&mut self, now: Time, report: Report) {
         let total = f64::from(report.running + report.waiting);
         let untold = total - f64::from(self.own) - self.told;
-        let age = now.since(self.reported).as_secs_f64();
-        let known = self.untold * (-age / REPORT_FADE_S).exp();
+        let known = self.untold * self.report_fade(now);
         self.untold = known + (untold - known) * REPORT_WEIGHT;
         self.reported = now;
     }
--- a/toucanhoist-edge/tests/edge.rs
+++ b/toucanhoist-edge/tests/edge.rs
@@ -12,6 +12,8 @@
     toucanhoist_core::steering::{Key, TargetState, Value},
 };
 
+#[path = "edge/malformed.rs"]
+mod malformed;
 #[path = "edge/restore.rs"]
 mod restore;
 mod support;
@@ -128,6 +130,30 @@
     }
 }
 
+/// The copy arrives on a connection that is idle, or in use again, while the next request is under way.
+#[rstest]
+#[case::in_use("/safe/", 0)]
+#[case::in_use_once("/once/", 0)]
+#[case::idle("/safe/", 60)]
+#[case::idle_once("/once/", 60)]
+#[tokio::test]
+async fn a_late_copy_of_an_answer_is_never_taken_for_the_next_one(
+    #[case] prefix: &str,
+    #[case] pause_ms: u64,
+) {
+    let target = FakeTarget::spawn(Manner::LateCopy).await;
+    let (edge, _store) = site(&[("t1", &target)]).await;
+    let mut served = 0;
+    for number in 0..10 {
+        let path = format!("{prefix}{number}");
+        let (status, _, body) = get(edge.addresses().callers, &path, &format!("r-{number}")).await;
+        assert!(status != 200 || body == path, "{status} {body}");
+        served += u32::from(status == 200);
+        time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+    assert!(served > 0, "some are answered");
+}
+
 #[tokio::test]
 async fn a_route_that_times_out_ends_with_504_and_the_target_sees_the_end() {
     let target = FakeTarget::spawn(Manner::Answer).await;
--- a/toucanhoist-edge/tests/support/mod.rs
+++ b/toucanhoist-edge/tests/support/mod.rs
@@ -168,6 +168,9 @@
     }
 }
 
+/// Time after which a late copy of an answer is sent.
+const LATE: Duration = Duration::from_millis(30);
+
 /// What a target does with a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Manner {
@@ -187,6 +190,8 @@
     Cross,
     /// Answers and sends a second answer behind.
     Surplus,
+    /// Answers, and sends the answer again a little later.
+    LateCopy,
     /// Ends the connection in the middle of the body.
     Truncate,
     /// Says that it is another target.
@@ -253,7 +258,7 @@
         let path = head.split(' ').nth(1).unwrap_or_default();
         let whole = answer("200 OK", &id, "", path);
         let text = match manner {
-            Manner::Answer | Manner::AwaitTwo => whole,
+            Manner::Answer | Manner::AwaitTwo | Manner::LateCopy => whole,
             Manner::Shed => {
                 answer("503 Service Unavailable", &id, "toucanhoist-not-run: 1\r\n", "")
             }
@@ -269,6 +274,12 @@
         if stream.write_all(text.as_bytes()).await.is_err() || manner == Manner::Truncate {
             return;
         }
+        if manner == Manner::LateCopy {
+            time::sleep(LATE).await;
+            if stream.write_all(text.as_bytes()).await.is_err() {
+                return;
+            }
+        }
     }
 }
 
