--- a/toucanhoist-core/src/steering/mirror.rs
+++ b/toucanhoist-core/src/steering/mirror.rs
@@ -66,6 +66,7 @@
         let missing = self.registry.missing(topic, version, &entries);
         let removed = self.set_aside(now, missing);
         let changed = self.registry.replace_with(topic, version, entries, removed);
+        // Nothing is released by a read; the time begins for which it is held.
         self.released(now, topic, version);
         Some(Taken { changed, told: None, away, restored })
     }
