Search for a request's target once when it ends

Cause: with what is usual of other regions, the end of each request searched the service's targets twice, on a path that every request takes. One search serves both; nothing reads the average in between, so that decisions are the same. A comment in steering::touch ran over its line and said "the two" of what stood a sentence before.

Left as they are: Registry::replace and merge have only tests as callers, beside Mirror, which filters what they show to be removed; the two first lines of Mirror::read and follow.

--- a/toucanhoist-core/src/steering/desk/service.rs
+++ b/toucanhoist-core/src/steering/desk/service.rs
@@ -165,18 +165,17 @@
     /// Learns how a request ended at its target.
     pub(super) fn end(&mut self, now: Time, ticket: &Ticket, outcome: Outcome) {
         self.freed = true;
-        if let Some(known) = self.known(&ticket.target) {
+        let known = self.targets.iter_mut().find(|known| known.name == ticket.target);
+        if let Some(known) = known {
             known.load.end();
             if known.target.address == ticket.address {
                 known.learn(now, ticket, outcome);
             }
+            self.usual.learn(now, known);
             if known.misdirected {
                 self.replan();
             }
         }
-        if let Some(known) = self.targets.iter().find(|known| known.name == ticket.target) {
-            self.usual.learn(now, known);
-        }
         if self.completions.len() == COMPLETIONS {
             self.completions.pop_front();
         }
--- a/toucanhoist-core/src/steering/touch.rs
+++ b/toucanhoist-core/src/steering/touch.rs
@@ -1,8 +1,9 @@
 //! Whether a host is in touch with the store, and since when the store is back.
 //!
-//! The store may be away for all hosts, or turn away this one alone. Only when it was away for all, or came back
-//! from a copy, may entries of targets have lapsed, so that their removals have to wait. What tells the two apart is a sign of others
-//! that the store serves them: the word of a host in touch, or news that cannot date from before.
+//! The store may be away for all hosts, or turn away this one alone. Only when it was away for all, or came
+//! back from a copy, may entries of targets have lapsed, so that their removals have to wait. What tells an
+//! outage for all from one for this host is a sign of others that the store serves them: the word of a host in
+//! touch, or news that cannot date from before.
 
 use std::{collections::BTreeMap, time::Duration};
 
