Log the limits that targets announce and that hosts know

Cause: not known yet. The logs say neither what a target announced nor what a host believed when it sent a request, so 'no host reads the limit' and 'each host keeps the whole limit' look the same. Change: the dialect names the header, Announced is what an answer says of it, target-limited (2108) logs each change of a host's knowledge, each sent line states the limit that was known, and two metrics count limited targets and the requests to them. No decision changes. Conclusion: with these, sends at a known limit mean the second hypothesis, and sends without one the first.

--- a/src/cli/timeline.rs
+++ b/src/cli/timeline.rs
@@ -16,7 +16,7 @@
 /// Time before a request's first line from which state changes of its hosts are included.
 const LEAD_TIME_MS: u64 = 10_000;
 /// Events that report a change in what a host knows of a target.
-const TARGET_EVENTS: [&str; 2] = ["target-changed", "target-closed"];
+const TARGET_EVENTS: [&str; 3] = ["target-changed", "target-closed", "target-limited"];
 /// Events that report another change of a host's state.
 const HOST_EVENTS: [&str; 5] = [
     "configuration-in-force",
@@ -110,11 +110,12 @@
     match text_field(line, "name") {
         "sent" => format!(
             "sent to {} as attempt {}; the target was estimated to run {} requests and to take {} \
-             ms; the request had waited {} us",
+             ms, its limit was {}; the request had waited {} us",
             field("target"),
             field("attempt"),
             field("busy"),
             field("expected_ms"),
+            field("limit"),
             field("waited_us")
         ),
         "answered" => format!(
@@ -135,6 +136,9 @@
         "retried" => format!("retried after {} sends", field("sends")),
         "abandoned" => format!("abandoned by its caller after {} us", field("micros")),
         "target-changed" => format!("target {} is {}", field("target"), field("state")),
+        "target-limited" => {
+            format!("the limit of target {} is {}", field("target"), field("limit"))
+        }
         "configuration-in-force" => format!("revision {} came into force", field("revision")),
         "platform-down" => format!("the store does not answer for {}", field("topic")),
         "platform-up" => format!("the store answers for {} again", field("topic")),
--- a/toucanhoist-core/src/event.rs
+++ b/toucanhoist-core/src/event.rs
@@ -98,6 +98,8 @@
     TargetChanged 2106 Info "target-changed"
     /// The data centres under evacuation changed.
     EvacuationsChanged 2107 Warn "evacuations-changed"
+    /// A target announced a limit on its requests, another one, or none any more.
+    TargetLimited 2108 Info "target-limited"
     /// A target is temporarily excluded from new requests.
     TargetClosed 2101 Warn "target-closed"
     /// A fingerprint was quarantined because its requests crashed targets.
--- a/toucanhoist-core/src/steering.rs
+++ b/toucanhoist-core/src/steering.rs
@@ -9,6 +9,7 @@
 */
 
 mod advertised;
+mod announced;
 mod balancer;
 mod bootstrap;
 mod budget;
@@ -30,6 +31,7 @@
 
 pub use self::{
     advertised::advertised_hosts,
+    announced::Announced,
     balancer::{Balancer, LOAD_EXCHANGE_HOSTS_MIN, LOAD_EXCHANGE_INTERVAL, Settings, Tag},
     bootstrap::Bootstrap,
     budget::{RetryBudget, Terms as RetryTerms},
--- a/toucanhoist-core/src/steering/balancer.rs
+++ b/toucanhoist-core/src/steering/balancer.rs
@@ -9,7 +9,7 @@
     Attempt, ColdLimit, Config, Observations, Outcome, Placement, PlacementRequest, ProcessingTime,
     Refused, RetryBudget, ServiceTerms, Target, Ticket, budget,
 };
-use crate::{clock::Time, id};
+use crate::{clock::Time, id, unit::Rate};
 
 mod choice;
 mod peers;
@@ -241,4 +241,16 @@
             service.end(now, ticket, outcome);
         }
     }
+
+    /// Returns the targets that have announced another limit since the last call; `None` for one that
+    /// names no limit any more.
+    pub fn take_limit_changes(&mut self) -> Vec<(id::Target, Option<Rate>)> {
+        self.services.values_mut().flat_map(Service::take_limit_changes).collect()
+    }
+
+    /// Returns how many targets have a limit, as far as this host knows.
+    pub fn limited_targets(&self) -> usize {
+        let targets = self.services.values().flat_map(|service| &service.targets);
+        targets.filter(|target| target.limit.is_some()).count()
+    }
 }
--- a/toucanhoist-core/src/steering/balancer/service.rs
+++ b/toucanhoist-core/src/steering/balancer/service.rs
@@ -19,6 +19,7 @@
     id,
     room::shift::Shift,
     steering::{Crossing, Outcome},
+    unit::Rate,
 };
 
 /// Requests that may wait for one service at one host; more could not be served in time.
@@ -49,6 +50,8 @@
     completions: VecDeque<Time>,
     /// Whether a request has ended since the last decision on waiting requests.
     has_freed_slot: bool,
+    /// Targets that announced another limit than before, with that limit.
+    limit_changes: Vec<(id::Target, Option<Rate>)>,
     typical_load: TypicalLoad,
 }
 
@@ -65,6 +68,7 @@
             planned: None,
             completions: VecDeque::new(),
             has_freed_slot: false,
+            limit_changes: Vec::new(),
             typical_load: TypicalLoad::default(),
         }
     }
@@ -83,6 +87,11 @@
         self.has_freed_slot && self.is_waiting()
     }
 
+    /// Returns the targets that have announced another limit since the last call.
+    pub(super) fn take_limit_changes(&mut self) -> Vec<(id::Target, Option<Rate>)> {
+        std::mem::take(&mut self.limit_changes)
+    }
+
     pub(super) fn target_mut(&mut self, name: &id::Target) -> Option<&mut TrackedTarget> {
         self.targets.iter_mut().find(|target| target.name == *name)
     }
@@ -176,6 +185,9 @@
             target.load.end();
             if target.entry.address == ticket.address {
                 target.record_outcome(now, ticket, outcome);
+                if target.record_limit(outcome) {
+                    self.limit_changes.push((target.name.clone(), target.limit));
+                }
             }
             self.typical_load.learn(now, target);
             if target.misdirected {
@@ -314,6 +326,7 @@
             sent: now,
             expected_s: best.processing_s,
             busy,
+            limit: target.limit,
             is_timing_valid: best.certain
                 && busy < f64::from(target.entry.slots)
                 && !target.is_cold(now),
--- a/toucanhoist-core/src/steering/balancer/tracked_target.rs
+++ b/toucanhoist-core/src/steering/balancer/tracked_target.rs
@@ -11,7 +11,8 @@
 use crate::{
     clock::Time,
     id,
-    steering::{ColdLimit, Load, Outcome, Reading, Target, TargetState, Ticket},
+    steering::{Announced, ColdLimit, Load, Outcome, Reading, Target, TargetState, Ticket},
+    unit::Rate,
 };
 
 /// Requests beyond its slots that a target gets, so that it never idles for a round trip.
@@ -44,6 +45,8 @@
     pub(super) cold_share: usize,
     /// Whether another target has taken over the address.
     pub(super) misdirected: bool,
+    /// Limit that it announced in its last answer to this host.
+    pub(super) limit: Option<Rate>,
 }
 
 impl TrackedTarget {
@@ -61,6 +64,7 @@
             cold_limit: ColdLimit::default(),
             cold_share: 0,
             misdirected: false,
+            limit: None,
         }
     }
 
@@ -68,6 +72,7 @@
     pub(super) fn update(mut self, entry: &Target, topology: &Topology) -> TrackedTarget {
         if self.entry.born != entry.born || self.entry.address != entry.address {
             self.load.reset();
+            self.limit = None;
         }
         self.entry = entry.clone();
         self.region = topology.region_of(&entry.data_centre);
@@ -136,9 +141,20 @@
             + FAILURE_COST_S * load.failing
     }
 
+    /// Records the limit that it announces; returns whether that differs from the last one.
+    pub(super) fn record_limit(&mut self, outcome: Outcome) -> bool {
+        let limit = match outcome {
+            Outcome::Answered { announced: Announced::Unlimited, .. } => None,
+            Outcome::Answered { announced: Announced::Limit(limit), .. }
+            | Outcome::Shed { announced: Announced::Limit(limit), .. } => Some(limit),
+            _ => return false,
+        };
+        std::mem::replace(&mut self.limit, limit) != limit
+    }
+
     pub(super) fn record_outcome(&mut self, now: Time, ticket: &Ticket, outcome: Outcome) {
         match outcome {
-            Outcome::Answered { took, report, failed } => {
+            Outcome::Answered { took, report, failed, .. } => {
                 if let Some(report) = report {
                     self.load.apply_report(now, report);
                 }
@@ -150,7 +166,7 @@
                     self.load.record_time(now, took.as_secs_f64() / ticket.expected_s.max(0.001));
                 }
             }
-            Outcome::Shed { report } => {
+            Outcome::Shed { report, .. } => {
                 if let Some(report) = report {
                     self.load.apply_report(now, report);
                 }
--- a/toucanhoist-core/src/steering/placement.rs
+++ b/toucanhoist-core/src/steering/placement.rs
@@ -2,8 +2,8 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{Report, Route};
-use crate::{clock::Time, id};
+use super::{Announced, Report, Route};
+use crate::{clock::Time, id, unit::Rate};
 
 /// A request that needs a target.
 #[derive(Clone, Debug)]
@@ -88,6 +88,8 @@
     pub expected_s: f64,
     /// Requests that the target held, as far as this host knew.
     pub busy: f64,
+    /// Requests a second that the target takes from all hosts, as far as this host knew.
+    pub limit: Option<Rate>,
     /// Whether the request's time is a valid sample of the route's processing time: the target had
     /// a free slot and was not cold, and it is certain whether it handled the object recently.
     pub is_timing_valid: bool,
@@ -138,6 +140,8 @@
         took: Duration,
         /// Load that the target reports.
         report: Option<Report>,
+        /// Limit that the target announces.
+        announced: Announced,
         /// Whether the answer is a failure.
         failed: bool,
     },
@@ -145,6 +149,8 @@
     Shed {
         /// Load that the target reports.
         report: Option<Report>,
+        /// Limit that the target announces.
+        announced: Announced,
     },
     /// Another target has taken over the address.
     Misdirected,
--- a/toucanhoist-core/tests/steering.rs
+++ b/toucanhoist-core/tests/steering.rs
@@ -2,6 +2,8 @@
 
 #[path = "steering/advertised.rs"]
 mod advertised;
+#[path = "steering/announced.rs"]
+mod announced;
 #[path = "steering/balancer.rs"]
 mod balancer;
 #[path = "steering/budget.rs"]
--- a/toucanhoist-core/tests/steering/balancer.rs
+++ b/toucanhoist-core/tests/steering/balancer.rs
@@ -3,7 +3,7 @@
 use {
     rstest::rstest,
     toucanhoist_core::steering::{
-        Attempt, Balancer, Outcome, Placement, Refused, Report, TargetState, Ticket,
+        Announced, Attempt, Balancer, Outcome, Placement, Refused, Report, TargetState, Ticket,
     },
 };
 
@@ -231,7 +231,11 @@
     let ticket = place(&mut balancer, at(0), request(1, at(0))).expect("a ticket");
     let report = Some(Report { running: 4, waiting: 3, slots: 4 });
     let took = Duration::from_millis(50);
-    balancer.end(at(50), &ticket, Outcome::Answered { took, report, failed: false });
+    balancer.end(
+        at(50),
+        &ticket,
+        Outcome::Answered { took, report, announced: Announced::Unlimited, failed: false },
+    );
     let next = place(&mut balancer, at(51), request(2, at(51))).expect("a ticket");
     assert_ne!(next.target, ticket.target);
 }
--- a/toucanhoist-core/tests/steering/load.rs
+++ b/toucanhoist-core/tests/steering/load.rs
@@ -19,8 +19,8 @@
         clock::Time,
         id,
         steering::{
-            Balancer, LOAD_EXCHANGE_HOSTS_MIN, LOAD_EXCHANGE_INTERVAL, Outcome, Placement, Report,
-            Ticket,
+            Announced, Balancer, LOAD_EXCHANGE_HOSTS_MIN, LOAD_EXCHANGE_INTERVAL, Outcome,
+            Placement, Report, Ticket,
         },
     },
 };
@@ -318,7 +318,8 @@
             self.outcomes.late += u32::from(!in_time);
         }
         let took = now.since(sent.sent_at);
-        let outcome = Outcome::Answered { took, report, failed: false };
+        let outcome =
+            Outcome::Answered { took, report, announced: Announced::Unlimited, failed: false };
         self.balancers[sent.host].end(now, &sent.ticket, outcome);
         let decided = self.balancers[sent.host].poll(now);
         self.apply_decisions(now, sent.host, decided);
--- a/toucanhoist-core/tests/steering/support.rs
+++ b/toucanhoist-core/tests/steering/support.rs
@@ -4,8 +4,8 @@
     clock::Time,
     id,
     steering::{
-        Attempt, Balancer, Config, Outcome, Part, Placement, PlacementRequest, RetryTerms, Route,
-        ServiceTerms, Settings, Target, TargetState, Ticket,
+        Announced, Attempt, Balancer, Config, Outcome, Part, Placement, PlacementRequest,
+        RetryTerms, Route, ServiceTerms, Settings, Target, TargetState, Ticket,
     },
 };
 
@@ -120,7 +120,12 @@
 }
 
 pub fn answered(took_ms: u64) -> Outcome {
-    Outcome::Answered { took: Duration::from_millis(took_ms), report: None, failed: false }
+    Outcome::Answered {
+        took: Duration::from_millis(took_ms),
+        report: None,
+        announced: Announced::Unlimited,
+        failed: false,
+    }
 }
 
 pub fn target_id(text: &str) -> id::Target {
--- a/toucanhoist-edge/src/dialect.rs
+++ b/toucanhoist-edge/src/dialect.rs
@@ -24,6 +24,9 @@
     pub not_run: HeaderName,
     /// Header with a target's load: requests that run, requests that wait, and slots.
     pub load: HeaderName,
+    /// Header with the requests a second that a target takes from all hosts together, while it announces a
+    /// limit.
+    pub limit: HeaderName,
     /// Headers that only a target may set; they are removed from requests.
     pub target_only: Box<[HeaderName]>,
     /// Whether `Retry-After` may hold fractions of a second.
@@ -59,6 +62,7 @@
             object_cookie: "toucanhoist-object".into(),
             not_run: HeaderName::from_static("toucanhoist-not-run"),
             load: HeaderName::from_static("toucanhoist-load"),
+            limit: HeaderName::from_static("toucanhoist-limit"),
             target_only: Box::default(),
             fractional_retry_after: false,
             readiness_path: "/ready".into(),
--- a/toucanhoist-edge/src/gateway/attempt.rs
+++ b/toucanhoist-edge/src/gateway/attempt.rs
@@ -21,7 +21,7 @@
         event::Event,
         id,
         refusal::{Code, Refusal, Verdict},
-        steering::{Attempt, Outcome, PlacementRequest, Refused, Ticket},
+        steering::{Announced, Attempt, Outcome, PlacementRequest, Refused, Ticket},
     },
 };
 
@@ -208,10 +208,15 @@
 ) -> Next {
     attempts.sends += 1;
     let (status, report, took) = (answer.head.status, answer.report, sent.elapsed());
+    let announced = answer.announced;
     let target = lease.ticket().target.clone();
     if answer.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
-        lease.end(if is_misdirected { Outcome::Misdirected } else { Outcome::Shed { report } });
+        lease.end(if is_misdirected {
+            Outcome::Misdirected
+        } else {
+            Outcome::Shed { report, announced }
+        });
         let has_attempts_left = attempts.sends < request.route.attempts_max.max(1);
         if has_attempts_left && Instant::now() < request.deadline {
             return Next::Retry;
@@ -222,7 +227,7 @@
     let failed = status.is_server_error() || promises_not_run(status);
     if failed {
         attempts.may_have_run = true;
-        lease.end(Outcome::Answered { took, report, failed });
+        lease.end(Outcome::Answered { took, report, announced, failed });
         if promises_not_run(status) {
             // A caller would take the status as a promise that the request did not run, and the target made
             // no such promise.
@@ -246,7 +251,7 @@
     let body_lease = match &answer.rest {
         Some(_) => Some(lease),
         None => {
-            lease.end(Outcome::Answered { took, report, failed });
+            lease.end(Outcome::Answered { took, report, announced, failed });
             None
         }
     };
@@ -324,6 +329,7 @@
             ("target", &ticket.target),
             ("attempt", &(attempts.sends + 1)),
             ("busy", &format_args!("{:.1}", ticket.busy)),
+            ("limit", &ticket.limit.map_or(Announced::Unlimited, Announced::Limit)),
             ("object", &format_args!("{:x}", ticket.object.unwrap_or_default())),
             ("recent", &ticket.recent),
             ("crossing", &ticket.crossing.as_str()),
--- a/toucanhoist-edge/src/steer.rs
+++ b/toucanhoist-edge/src/steer.rs
@@ -24,8 +24,9 @@
         id,
         quarantine::{Fingerprint, Quarantine},
         steering::{
-            Balancer, EntryHost, LOAD_EXCHANGE_HOSTS_MIN, LOAD_EXCHANGE_INTERVAL, Outcome,
-            Placement, PlacementRequest, Refused, RetryTerms, Routes, Settings, Target, Ticket,
+            Announced, Balancer, EntryHost, LOAD_EXCHANGE_HOSTS_MIN, LOAD_EXCHANGE_INTERVAL,
+            Outcome, Placement, PlacementRequest, Refused, RetryTerms, Routes, Settings, Target,
+            Ticket,
         },
     },
     toucanhoist_wire::steering::{Requests, Suspicions, packet},
@@ -314,7 +315,10 @@
             Input::Packet(from, body) => self.handle_packet(now, from, body),
             Input::Admit(account, reply) => self.accounts.admit(now, &account, reply),
             Input::Place(pending) => self.place(now, *pending),
-            Input::End(ticket, outcome) => self.balancer.end(now, &ticket, outcome),
+            Input::End(ticket, outcome) => {
+                self.balancer.end(now, &ticket, outcome);
+                self.log_limits();
+            }
             Input::Cancel(number) => {
                 self.replies.remove(&number);
                 self.balancer.cancel(number);
@@ -345,6 +349,11 @@
         for (number, placement) in placements {
             let decision = match placement {
                 Placement::Send(ticket) => {
+                    if ticket.limit.is_some() {
+                        let service = ticket.service.to_string();
+                        metrics::counter!("toucanhoist_limited_sends_total", "service" => service)
+                            .increment(1);
+                    }
                     let ticket = Some(Box::new(ticket));
                     Decision::Granted(Lease { ticket, handle: self.handle.clone() })
                 }
@@ -414,6 +423,20 @@
         self.has_sent_load = !is_empty;
     }
 
+    /// Logs the limits that targets have announced or withdrawn.
+    fn log_limits(&mut self) {
+        let changes = self.balancer.take_limit_changes();
+        if changes.is_empty() {
+            return;
+        }
+        for (target, limit) in changes {
+            let limit = limit.map_or(Announced::Unlimited, Announced::Limit);
+            self.journal.note(Event::TargetLimited, &[("target", &target), ("limit", &limit)]);
+        }
+        // The number of targets is far below the range of exact integers.
+        metrics::gauge!("toucanhoist_limited_targets").set(self.balancer.limited_targets() as f64);
+    }
+
     fn log_quarantined(&self, fingerprint: Fingerprint) {
         self.journal.note(Event::Quarantined, &[("fingerprint", &fingerprint)]);
     }
--- a/toucanhoist-edge/src/target.rs
+++ b/toucanhoist-edge/src/target.rs
@@ -16,12 +16,15 @@
 
 use {
     bytes::{Bytes, BytesMut},
-    http::{HeaderMap, Request, header, response::Parts},
+    http::{HeaderMap, HeaderName, Request, header, response::Parts},
     http_body_util::{BodyExt, Full},
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     tokio::time::Instant,
-    toucanhoist_core::{id, steering::Report},
+    toucanhoist_core::{
+        id,
+        steering::{Announced, Report},
+    },
     toucanhoist_store::socket,
 };
 
@@ -85,6 +88,8 @@
     pub rest: Option<Incoming>,
     /// Load that the target reports.
     pub report: Option<Report>,
+    /// Limit that the target announces.
+    pub announced: Announced,
     /// Whether the target states that it did not run the request.
     pub not_run: bool,
 }
@@ -142,6 +147,7 @@
             return Err(Error::Stray);
         }
         let report = head.headers.get(&dialect.load).and_then(|v| parse_load(v.to_str().ok()?));
+        let announced = announced(&head.headers, &dialect.limit);
         let not_run = head.headers.contains_key(&dialect.not_run);
         let until = reusable_until(&head.headers);
         let (first, rest) = read(body).await?;
@@ -150,7 +156,7 @@
                 self.put_back(endpoint, connection, until);
             }
         }
-        Ok(Answer { head, first, rest, report, not_run })
+        Ok(Answer { head, first, rest, report, announced, not_run })
     }
 
     /// Whether an address accepts connections.
@@ -267,6 +273,12 @@
     Some(Report { running: next()?, waiting: next()?, slots: next()? })
 }
 
+/// Returns the limit that an answer announces.
+fn announced(headers: &HeaderMap, name: &HeaderName) -> Announced {
+    // A value that is not text cannot be a rate either.
+    Announced::parse(headers.get(name).map(|value| value.to_str().unwrap_or_default()))
+}
+
 /// Whether a connection ended because of bytes that belong to no request.
 fn is_unexpected(error: &hyper::Error) -> bool {
     !error.is_canceled() && !error.is_closed() && !error.is_incomplete_message() && {
