Add a failing test: targets get more than the limit that they name

What callers saw: nothing; targets in need got more requests than they can take. Cause: hosts do not heed the limit that a target announces. A single host fails as well, which rules out that each host keeps the limit by itself, and the counts do not depend on the limit.

--- a/toucanhoist-core/tests/steering.rs
+++ b/toucanhoist-core/tests/steering.rs
@@ -34,5 +34,7 @@
 mod split;
 #[path = "steering/support.rs"]
 mod support;
+#[path = "steering/target_limit.rs"]
+mod target_limit;
 #[path = "steering/typical_load.rs"]
 mod typical_load;
