Keep the limit that a target names on all hosts together

What callers saw: a target that had named a limit of 2.3 requests a second got 27 in 4 s from hosts that it had told (19 allowed); others waited or failed while it recovered. Its class: what a target tells one host in an answer, and what all hosts must keep together. Change: core::steering::limit. Statements of a target have versions, so that all hosts end with the same one in spite of lost and late messages; a stricter one always counts, a more generous one only if its request was sent when the current one was known. News spread by rumour and a refresh, with a constant number of messages a host. A few registered hosts, those of the target's region first, hold equal parts of the rate and start empty; bursts are 1 + 2 x limit in total. If no answer arrives for 3 s or 1 / limit, other hosts ask in turn, so that the end of a limit is noticed without the holders. A request that finds no turn in time is refused at once, with the time of the turn. Conclusion: it works because the sum of parts and bursts is bounded by the registered hosts alone, whatever messages are lost.

--- a/toucanhoist-core/src/steering.rs
+++ b/toucanhoist-core/src/steering.rs
@@ -20,6 +20,7 @@
 mod connectivity;
 mod deferral;
 mod entry;
+pub mod limit;
 mod load;
 mod mirror;
 mod placement;
@@ -41,6 +42,7 @@
     config::{AccountTerms, Config, Host, Limits, Part, Route, Routes, ServiceTerms},
     connectivity::Connectivity,
     entry::{Entry, EntryHost, Key, Target, TargetState, Topic, Value},
+    limit::Report as LimitReport,
     load::{Load, Observations, Reading, Report},
     mirror::{Mirror, Update},
     placement::{Attempt, Crossing, Outcome, Placement, PlacementRequest, Refused, Ticket},
--- a/toucanhoist-core/src/steering/balancer.rs
+++ b/toucanhoist-core/src/steering/balancer.rs
@@ -6,10 +6,11 @@
 };
 
 use super::{
-    Attempt, ColdLimit, Config, Observations, Outcome, Placement, PlacementRequest, ProcessingTime,
-    Refused, RetryBudget, ServiceTerms, Target, Ticket, budget,
+    Attempt, ColdLimit, Config, LimitReport, Observations, Outcome, Placement, PlacementRequest,
+    ProcessingTime, Refused, RetryBudget, ServiceTerms, Target, Ticket, budget,
+    limit::{self, Knowledge},
 };
-use crate::{clock::Time, id, unit::Rate};
+use crate::{clock::Time, id};
 
 mod choice;
 mod peers;
@@ -47,6 +48,8 @@
     pub cold_factor: f64,
     /// Requests a second that are allowed in addition.
     pub cold_extra: f64,
+    /// Seed of the choice of the hosts that are told of limits.
+    pub seed: u64,
 }
 
 /// Share of the shift cap that is reserved for changes of the plan; overflowing requests may use
@@ -74,6 +77,7 @@
     /// Service of each target.
     targets: HashMap<id::Target, id::Service>,
     peers: Peers,
+    limits: Knowledge,
 }
 
 impl Balancer {
@@ -83,6 +87,7 @@
             Topology::new(settings.host.clone(), settings.data_centre.clone(), &settings.regions);
         Balancer {
             topology,
+            limits: Knowledge::new(settings.seed),
             settings,
             services: HashMap::new(),
             targets: HashMap::new(),
@@ -143,10 +148,11 @@
     }
 
     /// Sets the hosts that may send to targets, with their data centres; this one is among them.
-    pub fn set_hosts(&mut self, hosts: BTreeMap<id::EntryHost, id::DataCentre>) {
+    pub fn set_hosts(&mut self, now: Time, hosts: BTreeMap<id::EntryHost, id::DataCentre>) {
         self.topology.set_hosts(hosts);
         for service in self.services.values_mut() {
             service.set_cold_shares(&self.settings, &self.topology);
+            service.set_limit_places(now, &self.topology);
             service.replan();
         }
     }
@@ -178,6 +184,7 @@
         let service = self.services.entry(entry.service.clone());
         let service = service.or_insert_with(|| Service::new(now));
         service.insert(&self.settings, &self.topology, target);
+        self.apply_limit(now, name);
     }
 
     /// Sets the data centres under evacuation. Targets of a data centre whose evacuation ends count
@@ -240,17 +247,52 @@
         if let Some(service) = self.services.get_mut(&ticket.service) {
             service.end(now, ticket, outcome);
         }
+        let (announced, ran) = match outcome {
+            Outcome::Answered { announced, .. } => (announced, true),
+            Outcome::Shed { announced, .. } => (announced, false),
+            _ => return,
+        };
+        if self.limits.hear(now, ticket, announced, ran) {
+            self.apply_limit(now, &ticket.target);
+        }
     }
 
-    /// Returns the targets that have announced another limit since the last call; `None` for one that
-    /// names no limit any more.
-    pub fn take_limit_changes(&mut self) -> Vec<(id::Target, Option<Rate>)> {
-        self.services.values_mut().flat_map(Service::take_limit_changes).collect()
+    /// Applies what is known of a target's limit to its turns.
+    fn apply_limit(&mut self, now: Time, name: &id::Target) {
+        let service = self.targets.get(name).and_then(|service| self.services.get_mut(service));
+        let Some(target) = service.and_then(|service| service.target_mut(name)) else { return };
+        let known = self.limits.get(name, target.entry.born);
+        target.set_limit(now, &self.topology, known);
+    }
+
+    /// Merges what another host knows of the limits of targets.
+    pub fn merge_limits(&mut self, now: Time, reports: Vec<LimitReport>) {
+        for target in self.limits.merge(now, reports) {
+            self.apply_limit(now, &target);
+        }
+    }
+
+    /// Returns what other hosts should know of the limits of targets, by host.
+    pub fn due_limit_reports(&mut self, now: Time) -> BTreeMap<id::EntryHost, Vec<LimitReport>> {
+        if self.limits.is_empty() {
+            return BTreeMap::new();
+        }
+        let others: Vec<&id::EntryHost> = self.topology.other_hosts().collect();
+        self.limits.due_reports(now, &others, |target| self.targets.contains_key(target))
+    }
+
+    /// Whether other hosts should be told of limits at once.
+    pub fn has_limit_news(&self) -> bool {
+        self.limits.has_news()
+    }
+
+    /// Returns the limits that this host has learned of since the last call.
+    pub fn take_learned_limits(&mut self) -> Vec<limit::Learned> {
+        self.limits.take_learned()
     }
 
     /// Returns how many targets have a limit, as far as this host knows.
     pub fn limited_targets(&self) -> usize {
-        let targets = self.services.values().flat_map(|service| &service.targets);
-        targets.filter(|target| target.limit.is_some()).count()
+        self.limits.limited()
     }
 }
--- a/toucanhoist-core/src/steering/balancer/choice.rs
+++ b/toucanhoist-core/src/steering/balancer/choice.rs
@@ -9,6 +9,7 @@
 use super::{
     PlacementRequest, ProcessingTime, TrackedTarget,
     topology::{Proximity, Region, Topology},
+    tracked_target::Turn,
     typical_load::TypicalLoad,
 };
 use crate::{clock::Time, id, steering::Crossing};
@@ -72,6 +73,37 @@
     pub has_eligible: bool,
     /// Shortest wait for a full target.
     pub least_wait_s: Option<f64>,
+    /// Targets whose limit allows no request of this host now.
+    turns: Turns,
+    /// Whether a target is unavailable for another reason, and may become available.
+    may_recover: bool,
+}
+
+/// Turns of this host at targets with a limit.
+#[derive(Default)]
+struct Turns {
+    /// Shortest wait for a turn; infinite if other hosts have all turns.
+    wait_s: Option<f64>,
+    rate_per_s: f64,
+}
+
+impl Turns {
+    fn add(&mut self, wait_s: f64, rate_per_s: f64) {
+        self.wait_s = Some(self.wait_s.map_or(wait_s, |least| least.min(wait_s)));
+        self.rate_per_s += rate_per_s;
+    }
+}
+
+impl Choice {
+    /// Returns the wait for a turn at a target with a limit, in seconds, for a request with `ahead` others
+    /// before it; `None` if no such target could serve it, or another target may become available first.
+    pub(super) fn next_turn_s(&self, ahead: usize) -> Option<f64> {
+        let wait_s = self.turns.wait_s?;
+        if wait_s.is_infinite() {
+            return (!self.may_recover).then_some(wait_s);
+        }
+        Some(wait_s + ahead as f64 / self.turns.rate_per_s)
+    }
 }
 
 /// A target that could serve the request.
@@ -98,9 +130,24 @@
         last_region = Some(region);
         let target = &mut context.targets[index];
         let crosses = target.proximity == Proximity::Remote;
-        if (crosses && !may_cross) || !target.is_available(now, context.connections) {
+        if crosses && !may_cross {
+            continue;
+        }
+        if !target.is_available(now, context.connections) {
+            choice.may_recover = true;
             continue;
         }
+        match target.turn(now) {
+            Turn::Now => {}
+            Turn::After { wait, rate_per_s } => {
+                choice.turns.add(wait.as_secs_f64(), rate_per_s);
+                continue;
+            }
+            Turn::Never => {
+                choice.turns.add(f64::INFINITY, 0.0);
+                continue;
+            }
+        }
         let has_object = request.object.is_some_and(|object| target.load.has_recent_object(object));
         let recent = is_first || has_object;
         let processing_s = context.processing_time.expected(recent);
--- a/toucanhoist-core/src/steering/balancer/service.rs
+++ b/toucanhoist-core/src/steering/balancer/service.rs
@@ -19,7 +19,6 @@
     id,
     room::shift::Shift,
     steering::{Crossing, Outcome},
-    unit::Rate,
 };
 
 /// Requests that may wait for one service at one host; more could not be served in time.
@@ -50,8 +49,6 @@
     completions: VecDeque<Time>,
     /// Whether a request has ended since the last decision on waiting requests.
     has_freed_slot: bool,
-    /// Targets that announced another limit than before, with that limit.
-    limit_changes: Vec<(id::Target, Option<Rate>)>,
     typical_load: TypicalLoad,
 }
 
@@ -68,7 +65,6 @@
             planned: None,
             completions: VecDeque::new(),
             has_freed_slot: false,
-            limit_changes: Vec::new(),
             typical_load: TypicalLoad::default(),
         }
     }
@@ -87,11 +83,6 @@
         self.has_freed_slot && self.is_waiting()
     }
 
-    /// Returns the targets that have announced another limit since the last call.
-    pub(super) fn take_limit_changes(&mut self) -> Vec<(id::Target, Option<Rate>)> {
-        std::mem::take(&mut self.limit_changes)
-    }
-
     pub(super) fn target_mut(&mut self, name: &id::Target) -> Option<&mut TrackedTarget> {
         self.targets.iter_mut().find(|target| target.name == *name)
     }
@@ -128,6 +119,11 @@
         (0..self.targets.len()).for_each(|index| self.set_cold_share(settings, topology, index));
     }
 
+    /// Sets the host's place among those that share the limit of each target.
+    pub(super) fn set_limit_places(&mut self, now: Time, topology: &Topology) {
+        self.targets.iter_mut().for_each(|target| target.set_limit_place(now, topology));
+    }
+
     fn set_cold_share(&mut self, settings: &Settings, topology: &Topology, index: usize) {
         let Some(terms) = &self.terms else { return };
         let rate = terms.cold_rate * settings.cold_factor + settings.cold_extra;
@@ -185,9 +181,6 @@
             target.load.end();
             if target.entry.address == ticket.address {
                 target.record_outcome(now, ticket, outcome);
-                if target.record_limit(outcome) {
-                    self.limit_changes.push((target.name.clone(), target.limit));
-                }
             }
             self.typical_load.learn(now, target);
             if target.misdirected {
@@ -249,6 +242,15 @@
             return refuse(Refused::NoTarget, 0.0);
         }
         let Some(best) = choice.best else {
+            if let Some(turn_s) = choice.next_turn_s(ahead) {
+                let is_earlier = choice.least_wait_s.is_none_or(|wait_s| turn_s < wait_s);
+                if turn_s < wait_max_s && ahead < WAITING_MAX {
+                    return None;
+                }
+                if is_earlier {
+                    return refuse(Refused::Limited, turn_s);
+                }
+            }
             let wait_s = choice.least_wait_s.unwrap_or_else(|| self.expected_wait_s(now, ahead));
             let hopeless = choice.least_wait_s.is_some() || wait_s >= wait_max_s;
             return if hopeless { refuse(Refused::NoRoom, wait_s) } else { None };
@@ -310,10 +312,7 @@
         let found = self.targets.iter_mut().find(|target| target.name == best.target);
         let target = found.expect("a candidate is a known target");
         let busy = target.load.busy(now, self.typical_load.busy(target));
-        if target.is_cold(now) {
-            target.cold_limit.send(now);
-        }
-        target.load.send();
+        target.send(now);
         Ticket {
             number: request.number,
             target: best.target,
@@ -326,7 +325,9 @@
             sent: now,
             expected_s: best.processing_s,
             busy,
-            limit: target.limit,
+            limit: target.limit(),
+            limit_version: target.limit_version(),
+            born: target.entry.born,
             is_timing_valid: best.certain
                 && busy < f64::from(target.entry.slots)
                 && !target.is_cold(now),
--- a/toucanhoist-core/src/steering/balancer/topology.rs
+++ b/toucanhoist-core/src/steering/balancer/topology.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::{id, membership::rendezvous_score};
+use crate::{id, membership::rendezvous_score, steering::limit};
 
 /// Location of a target relative to the host.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -128,4 +128,29 @@
             .filter(|host| rendezvous_score(host.as_str(), target.as_str()) > own)
             .count()
     }
+
+    /// Returns the other hosts.
+    pub(super) fn other_hosts(&self) -> impl Iterator<Item = &id::EntryHost> {
+        self.hosts.keys().filter(|host| **host != self.host)
+    }
+
+    /// Returns the host's place in the order of all hosts for a target's limit: hosts of its region first,
+    /// each group by rendezvous score.
+    pub(super) fn limit_place(&self, target: &id::Target, region: Region) -> limit::Place {
+        let order = |host: &id::EntryHost, data_centre: &id::DataCentre| {
+            let is_near = self.region_of(data_centre) == region;
+            (is_near, rendezvous_score(host.as_str(), target.as_str()))
+        };
+        let own = order(&self.host, &self.data_centre);
+        let mut place = limit::Place { position: 0, near: 0, hosts: self.hosts.len() };
+        for (host, data_centre) in &self.hosts {
+            let other = order(host, data_centre);
+            place.position += usize::from(other > own);
+            place.near += usize::from(other.0);
+        }
+        if place.near == 0 {
+            place.near = place.hosts;
+        }
+        place
+    }
 }
--- a/toucanhoist-core/src/steering/balancer/tracked_target.rs
+++ b/toucanhoist-core/src/steering/balancer/tracked_target.rs
@@ -11,7 +11,10 @@
 use crate::{
     clock::Time,
     id,
-    steering::{Announced, ColdLimit, Load, Outcome, Reading, Target, TargetState, Ticket},
+    steering::{
+        ColdLimit, Load, Outcome, Reading, Target, TargetState, Ticket,
+        limit::{Statement, Turns},
+    },
     unit::Rate,
 };
 
@@ -29,6 +32,19 @@
 /// Extra time for which a target counts as cold, since reports may be in transit.
 const COLD_MARGIN: Duration = Duration::from_millis(300);
 
+/// When the limit of a target next allows a request of this host.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Turn {
+    Now,
+    After {
+        wait: Duration,
+        /// Requests a second that follow.
+        rate_per_s: f64,
+    },
+    /// Other hosts hold the target's rate.
+    Never,
+}
+
 #[derive(Debug)]
 pub(super) struct TrackedTarget {
     pub(super) name: id::Target,
@@ -45,8 +61,12 @@
     pub(super) cold_share: usize,
     /// Whether another target has taken over the address.
     pub(super) misdirected: bool,
-    /// Limit that it announced in its last answer to this host.
-    pub(super) limit: Option<Rate>,
+    /// What is known of its limit.
+    statement: Option<Statement>,
+    /// When an answer last named the limit.
+    limit_heard: Time,
+    /// Requests that this host may send it, while it has a limit.
+    turns: Option<Turns>,
 }
 
 impl TrackedTarget {
@@ -64,7 +84,9 @@
             cold_limit: ColdLimit::default(),
             cold_share: 0,
             misdirected: false,
-            limit: None,
+            statement: None,
+            limit_heard: Time::ZERO,
+            turns: None,
         }
     }
 
@@ -72,7 +94,6 @@
     pub(super) fn update(mut self, entry: &Target, topology: &Topology) -> TrackedTarget {
         if self.entry.born != entry.born || self.entry.address != entry.address {
             self.load.reset();
-            self.limit = None;
         }
         self.entry = entry.clone();
         self.region = topology.region_of(&entry.data_centre);
@@ -141,15 +162,62 @@
             + FAILURE_COST_S * load.failing
     }
 
-    /// Records the limit that it announces; returns whether that differs from the last one.
-    pub(super) fn record_limit(&mut self, outcome: Outcome) -> bool {
-        let limit = match outcome {
-            Outcome::Answered { announced: Announced::Unlimited, .. } => None,
-            Outcome::Answered { announced: Announced::Limit(limit), .. }
-            | Outcome::Shed { announced: Announced::Limit(limit), .. } => Some(limit),
-            _ => return false,
+    /// Sets what is known of its limit, and when that was last heard.
+    pub(super) fn set_limit(
+        &mut self,
+        now: Time,
+        topology: &Topology,
+        known: Option<(Statement, Time)>,
+    ) {
+        let statement = known.map(|(statement, _)| statement);
+        self.limit_heard = known.map_or(Time::ZERO, |(_, heard)| heard);
+        if std::mem::replace(&mut self.statement, statement) != statement {
+            self.set_limit_place(now, topology);
+        }
+    }
+
+    /// Sets the host's place among those that share its limit.
+    pub(super) fn set_limit_place(&mut self, now: Time, topology: &Topology) {
+        let Some(limit) = self.limit() else {
+            self.turns = None;
+            return;
         };
-        std::mem::replace(&mut self.limit, limit) != limit
+        let place = topology.limit_place(&self.name, self.region);
+        match &mut self.turns {
+            Some(turns) => turns.set(now, limit, place),
+            None => self.turns = Some(Turns::new(now, limit, place)),
+        }
+    }
+
+    /// Returns the requests a second that it takes from all hosts.
+    pub(super) fn limit(&self) -> Option<Rate> {
+        self.statement?.limit
+    }
+
+    /// Returns the version of what is known of its limit, 0 if nothing is.
+    pub(super) fn limit_version(&self) -> u64 {
+        self.statement.map_or(0, |statement| statement.version)
+    }
+
+    /// Returns when its limit next allows a request of this host.
+    pub(super) fn turn(&mut self, now: Time) -> Turn {
+        let Some(turns) = &mut self.turns else { return Turn::Now };
+        match turns.wait(now, self.limit_heard) {
+            Some(wait) if wait.is_zero() => Turn::Now,
+            Some(wait) => Turn::After { wait, rate_per_s: turns.rate_per_s() },
+            None => Turn::Never,
+        }
+    }
+
+    /// Counts a request that is sent.
+    pub(super) fn send(&mut self, now: Time) {
+        if self.is_cold(now) {
+            self.cold_limit.send(now);
+        }
+        if let Some(turns) = &mut self.turns {
+            turns.send(now, self.limit_heard);
+        }
+        self.load.send();
     }
 
     pub(super) fn record_outcome(&mut self, now: Time, ticket: &Ticket, outcome: Outcome) {
--- /dev/null
+++ b/toucanhoist-core/src/steering/limit/knowledge.rs
@@ -0,0 +1,278 @@
+//! What one host knows of the limits of all targets, and what it tells other hosts.
+//!
+//! News spread as rumours: a host that learns of a statement tells it to a few others, who do the same. In
+//! addition each host tells all limits to another host at intervals, which reaches those that missed the news or
+//! were restarted. The messages of a host do not grow with the number of hosts.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use {
+    rand::{RngExt, SeedableRng, seq::IndexedRandom},
+    rand_xoshiro::Xoshiro256PlusPlus,
+};
+
+use super::{Report, Statement, statement::is_stricter};
+use crate::{
+    clock::Time,
+    id,
+    steering::{Announced, Ticket},
+    unit::Rate,
+};
+
+/// Hosts that are told of a new statement each time.
+const FANOUT: usize = 8;
+/// Number of times that news are told, since a datagram may be lost.
+const TRANSMISSIONS: u32 = 2;
+const TRANSMISSION_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which all limits are told to another host.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
+/// Reports in one message.
+const REPORTS_MAX: usize = 32;
+/// Time for which a statement is kept after its limit has ended or its target is gone; longer than a message
+/// is in transit and than a target is missing after an outage of the store.
+const RETENTION: Duration = Duration::from_secs(60);
+/// Targets about which statements are kept; more than a host has.
+const STATEMENTS_MAX: usize = 8_192;
+
+/// Where a host learned of a statement.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// An answer of the target.
+    Answer,
+    /// Another host.
+    Host,
+}
+
+impl Source {
+    /// Returns the name that logs use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Source::Answer => "answer",
+            Source::Host => "host",
+        }
+    }
+}
+
+/// A change of what a host knows.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Learned {
+    /// The target.
+    pub target: id::Target,
+    /// Its limit; `None` if it names none any more.
+    pub limit: Option<Rate>,
+    /// Where the host learned of it.
+    pub source: Source,
+}
+
+/// What one host knows of the limits of all targets.
+#[derive(Debug)]
+pub struct Knowledge {
+    rng: Xoshiro256PlusPlus,
+    statements: BTreeMap<id::Target, Known>,
+    refreshed_at: Time,
+    learned: Vec<Learned>,
+    /// Whether news wait to be told for the first time.
+    has_news: bool,
+}
+
+#[derive(Debug)]
+struct Known {
+    statement: Statement,
+    /// When an answer of the target last said so to any host.
+    heard: Time,
+    /// When the limit had ended, or the target was first missing.
+    obsolete_since: Option<Time>,
+    transmissions_left: u32,
+    last_sent: Time,
+    last_refreshed: Time,
+}
+
+impl Knowledge {
+    /// Creates the knowledge of a host that has heard nothing.
+    pub fn new(seed: u64) -> Knowledge {
+        Knowledge {
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            statements: BTreeMap::new(),
+            refreshed_at: Time::ZERO,
+            learned: Vec::new(),
+            has_news: false,
+        }
+    }
+
+    /// Returns the statement of the incarnation of a target that was born at `born`, and when it was last
+    /// heard.
+    pub fn get(&self, target: &id::Target, born: u64) -> Option<(Statement, Time)> {
+        let known = self.statements.get(target)?;
+        (known.statement.born >= born).then_some((known.statement, known.heard))
+    }
+
+    /// Whether nothing is known of any target.
+    pub fn is_empty(&self) -> bool {
+        self.statements.is_empty()
+    }
+
+    /// Returns how many targets have a limit.
+    pub fn limited(&self) -> usize {
+        self.statements.values().filter(|known| known.statement.limit.is_some()).count()
+    }
+
+    /// Records an answer to the request of a ticket; returns whether this adds to the knowledge. `ran` says
+    /// whether the target ran the request: an answer without a limit to one that it did not run says nothing.
+    pub fn hear(&mut self, now: Time, ticket: &Ticket, announced: Announced, ran: bool) -> bool {
+        let Ticket { target, born, .. } = ticket;
+        let born = *born;
+        let limit = match announced {
+            Announced::Limit(limit) => Some(limit),
+            Announced::Unlimited if ran => None,
+            Announced::Unlimited | Announced::Unreadable => return false,
+        };
+        let current = self.statements.get_mut(target).filter(|known| known.statement.born >= born);
+        let (current_version, current_limit) = match current {
+            Some(known) if known.statement.born > born => return false,
+            Some(known) if known.statement.limit == limit => {
+                known.heard = now;
+                return true;
+            }
+            Some(known) => (known.statement.version, known.statement.limit),
+            None => (0, None),
+        };
+        if limit == current_limit
+            || (!is_stricter(limit, current_limit) && ticket.limit_version != current_version)
+        {
+            return false;
+        }
+        let statement = Statement { born, version: current_version + 1, limit };
+        self.learn(now, target, statement, now, Source::Answer)
+    }
+
+    /// Merges the reports of another host; returns the targets about which they add to the knowledge.
+    pub fn merge(&mut self, now: Time, reports: Vec<Report>) -> Vec<id::Target> {
+        let mut added = Vec::new();
+        for Report { target, statement, age } in reports {
+            let heard = now - age;
+            let is_added = match self.statements.get_mut(&target) {
+                Some(known) if known.statement == statement => {
+                    let is_later = heard > known.heard;
+                    known.heard = known.heard.max(heard);
+                    is_later
+                }
+                Some(known) if !statement.supersedes(&known.statement) => false,
+                _ => self.learn(now, &target, statement, heard, Source::Host),
+            };
+            if is_added {
+                added.push(target);
+            }
+        }
+        added
+    }
+
+    fn learn(
+        &mut self,
+        now: Time,
+        target: &id::Target,
+        statement: Statement,
+        heard: Time,
+        source: Source,
+    ) -> bool {
+        let former = self.statements.get(target);
+        if former.is_none() && self.statements.len() >= STATEMENTS_MAX {
+            return false;
+        }
+        let former_limit = former.and_then(|known| known.statement.limit);
+        if former_limit != statement.limit {
+            let (target, limit) = (target.clone(), statement.limit);
+            self.learned.push(Learned { target, limit, source });
+        }
+        let known = Known {
+            statement,
+            heard,
+            obsolete_since: None,
+            transmissions_left: TRANSMISSIONS,
+            last_sent: Time::ZERO,
+            last_refreshed: now,
+        };
+        self.statements.insert(target.clone(), known);
+        self.has_news = true;
+        true
+    }
+
+    /// Returns the changes since the last call.
+    pub fn take_learned(&mut self) -> Vec<Learned> {
+        std::mem::take(&mut self.learned)
+    }
+
+    /// Whether news wait to be told for the first time.
+    pub fn has_news(&self) -> bool {
+        self.has_news
+    }
+
+    /// Returns the reports that are due, by the host that they are for; `others` are the other hosts, and
+    /// `is_target` says which targets still exist.
+    pub fn due_reports(
+        &mut self,
+        now: Time,
+        others: &[&id::EntryHost],
+        is_target: impl Fn(&id::Target) -> bool,
+    ) -> BTreeMap<id::EntryHost, Vec<Report>> {
+        let mut due = BTreeMap::new();
+        self.has_news = false;
+        let news = self.due_news(now);
+        for host in others.sample(&mut self.rng, FANOUT).filter(|_| !news.is_empty()) {
+            due.insert((*host).clone(), news.clone());
+        }
+        if now >= self.refreshed_at + REFRESH_INTERVAL {
+            self.refreshed_at = now;
+            self.forget_obsolete(now, is_target);
+            if !self.statements.is_empty() && !others.is_empty() {
+                let host = others[self.rng.random_range(0..others.len())];
+                due.insert(host.clone(), self.due_refresh(now));
+            }
+        }
+        due
+    }
+
+    /// Returns reports of statements that are to be told to several hosts.
+    fn due_news(&mut self, now: Time) -> Vec<Report> {
+        let is_due = |known: &Known| {
+            known.transmissions_left > 0 && now >= known.last_sent + TRANSMISSION_INTERVAL
+        };
+        let due = self.statements.iter_mut().filter(|(_, known)| is_due(known));
+        let report = |(target, known): (&id::Target, &mut Known)| {
+            (known.transmissions_left, known.last_sent) = (known.transmissions_left - 1, now);
+            known.report(now, target)
+        };
+        due.take(REPORTS_MAX).map(report).collect()
+    }
+
+    /// Returns reports for one host, of the statements that were reported longest ago.
+    fn due_refresh(&mut self, now: Time) -> Vec<Report> {
+        let mut due: Vec<_> = self.statements.iter_mut().collect();
+        due.sort_by(|(name, known), (other_name, other)| {
+            (known.last_refreshed, name).cmp(&(other.last_refreshed, other_name))
+        });
+        due.truncate(REPORTS_MAX);
+        let report = |(target, known): (&id::Target, &mut Known)| {
+            known.last_refreshed = now;
+            known.report(now, target)
+        };
+        due.into_iter().map(report).collect()
+    }
+
+    /// Forgets limits that have ended and targets that are gone, after their retention.
+    fn forget_obsolete(&mut self, now: Time, is_target: impl Fn(&id::Target) -> bool) {
+        self.statements.retain(|target, known| {
+            if known.statement.limit.is_some() && is_target(target) {
+                known.obsolete_since = None;
+                return true;
+            }
+            now < *known.obsolete_since.get_or_insert(now) + RETENTION
+        });
+    }
+}
+
+impl Known {
+    fn report(&self, now: Time, target: &id::Target) -> Report {
+        let (target, statement) = (target.clone(), self.statement);
+        Report { target, statement, age: now.since(self.heard) }
+    }
+}
--- a/toucanhoist-core/src/steering/placement.rs
+++ b/toucanhoist-core/src/steering/placement.rs
@@ -90,6 +90,10 @@
     pub busy: f64,
     /// Requests a second that the target takes from all hosts, as far as this host knew.
     pub limit: Option<Rate>,
+    /// Version of the statement of that limit, 0 for none.
+    pub limit_version: u64,
+    /// Start time of the target.
+    pub born: u64,
     /// Whether the request's time is a valid sample of the route's processing time: the target had
     /// a free slot and was not cold, and it is certain whether it handled the object recently.
     pub is_timing_valid: bool,
@@ -102,6 +106,8 @@
     NoTarget,
     /// All targets are full, and it would wait too long.
     NoRoom,
+    /// The targets that have room take no more requests for now, as they have named limits.
+    Limited,
     /// The retry budget is used up.
     NoBudget,
 }
@@ -112,6 +118,7 @@
         match self {
             Refused::NoTarget => "no-target",
             Refused::NoRoom => "no-room",
+            Refused::Limited => "limited",
             Refused::NoBudget => "no-budget",
         }
     }
--- a/toucanhoist-core/tests/steering/balancer.rs
+++ b/toucanhoist-core/tests/steering/balancer.rs
@@ -182,7 +182,7 @@
 #[test]
 fn a_cold_target_gets_a_share_of_its_rate() {
     let mut balancer = balancer(&[("t1", "n1", 100)]);
-    balancer.set_hosts(eight_hosts());
+    balancer.set_hosts(at(0), eight_hosts());
     let mut cold = target("n1", 100);
     (cold.cold_left, cold.born) = (Duration::from_secs(3), 2);
     balancer.set_target(at(0), &target_id("t1"), Some(&cold));
@@ -195,7 +195,7 @@
 #[test]
 fn targets_of_a_data_centre_whose_evacuation_ends_count_as_cold() {
     let mut balancer = balancer(&[("t1", "n1", 100)]);
-    balancer.set_hosts(eight_hosts());
+    balancer.set_hosts(at(0), eight_hosts());
     balancer.set_evacuated(at(0), BTreeSet::from([name("n1")]));
     balancer.set_evacuated(at(5_000), BTreeSet::new());
     let sent = (0..100)
@@ -266,7 +266,7 @@
 ) {
     let mut balancer = balancer(&[("t1", "n1", 1_000)]);
     // The extra retries of the fleet are divided by its hosts: 56 / 8.
-    balancer.set_hosts(eight_hosts());
+    balancer.set_hosts(at(0), eight_hosts());
     let placed = (0..100).filter(|number| {
         let mut request = request(*number, at(0));
         request.attempt = attempt;
--- a/toucanhoist-core/tests/steering/load.rs
+++ b/toucanhoist-core/tests/steering/load.rs
@@ -175,7 +175,7 @@
             let host: id::EntryHost = name(&format!("h{host}"));
             let mut balancer = Balancer::new(settings(host.as_str(), "n1"));
             balancer.set_config(at(0), &config());
-            balancer.set_hosts(hosts.clone());
+            balancer.set_hosts(at(0), hosts.clone());
             for number in 0..region.targets + region.remote_targets {
                 let data_centre = if number < region.targets { "n1" } else { "s1" };
                 let entry = target(data_centre, region.slots);
--- a/toucanhoist-core/tests/steering/split.rs
+++ b/toucanhoist-core/tests/steering/split.rs
@@ -20,7 +20,7 @@
 fn balancer_in(data_centre: &str, north: usize, south: usize) -> Balancer {
     let mut balancer = Balancer::new(settings("h1", data_centre));
     balancer.set_config(at(0), &config());
-    balancer.set_hosts(hosts(&[("h1", "n1"), ("h2", "s1")]));
+    balancer.set_hosts(at(0), hosts(&[("h1", "n1"), ("h2", "s1")]));
     let in_region = (0..north).map(|number| (format!("n{number}"), "n1"));
     let remote = (0..south).map(|number| (format!("s{number}"), "s1"));
     for (text, data_centre) in in_region.chain(remote) {
--- a/toucanhoist-edge/src/steer.rs
+++ b/toucanhoist-edge/src/steer.rs
@@ -25,15 +25,19 @@
         quarantine::{Fingerprint, Quarantine},
         steering::{
             Announced, Balancer, EntryHost, LOAD_EXCHANGE_HOSTS_MIN, LOAD_EXCHANGE_INTERVAL,
-            Outcome, Placement, PlacementRequest, Refused, RetryTerms, Routes, Settings, Target,
-            Ticket,
+            LimitReport, Outcome, Placement, PlacementRequest, Refused, RetryTerms, Routes,
+            Settings, Target, Ticket, limit::Learned,
         },
     },
-    toucanhoist_wire::steering::{Requests, Suspicions, packet},
+    toucanhoist_wire::steering::{Limits, Requests, Suspicions, packet},
 };
 
 use self::accounts::Accounts;
-use crate::{clock::Clock, journal::Journal, peers, settings};
+use crate::{
+    clock::Clock,
+    journal::{Field, Journal},
+    peers, settings,
+};
 
 mod accounts;
 
@@ -237,6 +241,7 @@
             shift_interval: SHIFT_INTERVAL,
             cold_factor: bounds.cold_factor * COLD_USED_FRACTION,
             cold_extra: bounds.cold_extra * COLD_USED_FRACTION,
+            seed: rand::random(),
         });
         Task {
             accounts: Accounts::new(settings, peers.clone()),
@@ -284,6 +289,9 @@
             } else {
                 let placements = self.balancer.poll_freed(now);
                 self.deliver(placements);
+                if self.balancer.has_limit_news() {
+                    self.send_limits(now);
+                }
             }
         }
     }
@@ -293,6 +301,7 @@
         self.deliver(placements);
         self.accounts.poll(now);
         self.send_load(now);
+        self.send_limits(now);
         self.send_suspicions(now);
     }
 
@@ -308,7 +317,7 @@
             Input::Hosts(hosts) => {
                 self.hosts = Arc::new(hosts);
                 let data_centres = self.accounts.set_hosts(Arc::clone(&self.hosts));
-                self.balancer.set_hosts(data_centres.clone());
+                self.balancer.set_hosts(now, data_centres.clone());
                 self.set_region_peers();
                 self.set_shares(now);
             }
@@ -391,6 +400,15 @@
                 self.balancer
                     .add_peer_observations(load.seen.iter().map(|seen| (seen.tag, seen.into())));
             }
+            packet::Body::Limits(limits) => {
+                let reports = limits.limits.into_iter().map(LimitReport::try_from);
+                let (reports, malformed): (Vec<_>, Vec<_>) = reports.partition(Result::is_ok);
+                if !malformed.is_empty() {
+                    metrics::counter!("toucanhoist_datagrams_malformed_total").increment(1);
+                }
+                self.balancer.merge_limits(now, reports.into_iter().flatten().collect());
+                self.log_limits();
+            }
             // The fleet task handles these.
             packet::Body::Membership(_) | packet::Body::Reach(_) | packet::Body::Changes(_) => {}
         }
@@ -423,20 +441,31 @@
         self.has_sent_load = !is_empty;
     }
 
-    /// Logs the limits that targets have announced or withdrawn.
+    /// Logs the limits of targets that the host has learned of.
     fn log_limits(&mut self) {
-        let changes = self.balancer.take_limit_changes();
-        if changes.is_empty() {
+        let learned = self.balancer.take_learned_limits();
+        if learned.is_empty() {
             return;
         }
-        for (target, limit) in changes {
+        for Learned { target, limit, source } in learned {
             let limit = limit.map_or(Announced::Unlimited, Announced::Limit);
-            self.journal.note(Event::TargetLimited, &[("target", &target), ("limit", &limit)]);
+            let fields: [Field<'_>; 3] =
+                [("target", &target), ("limit", &limit), ("source", &source.as_str())];
+            self.journal.note(Event::TargetLimited, &fields);
         }
         // The number of targets is far below the range of exact integers.
         metrics::gauge!("toucanhoist_limited_targets").set(self.balancer.limited_targets() as f64);
     }
 
+    /// Tells other hosts what they should know of the limits of targets.
+    fn send_limits(&mut self, now: Time) {
+        for (name, reports) in self.balancer.due_limit_reports(now) {
+            let Some(host) = self.hosts.get(&name) else { continue };
+            let limits = Limits { limits: reports.into_iter().map(Into::into).collect() };
+            self.peers.send(host.peers, packet::Body::Limits(limits));
+        }
+    }
+
     fn log_quarantined(&self, fingerprint: Fingerprint) {
         self.journal.note(Event::Quarantined, &[("fingerprint", &fingerprint)]);
     }
--- a/toucanhoist-edge/tests/edge.rs
+++ b/toucanhoist-edge/tests/edge.rs
@@ -187,6 +187,25 @@
     assert!(header(&head, "retry-after").is_some(), "{head}");
 }
 
+#[tokio::test]
+async fn a_request_beyond_its_targets_limit_is_refused_at_once() {
+    let target = FakeTarget::spawn(Behaviour::Answer).await;
+    let (edge, _store) = site(&[("t1", &target)]).await;
+    target.set_behaviour(Behaviour::Limit);
+    let (status, head, _) = get(edge.addresses().callers, "/safe/a", "r-1").await;
+    assert_eq!(status, 200);
+    assert_eq!(header(&head, "toucanhoist-limit").as_deref(), Some("0.01"));
+    let before = target.request_count();
+    for number in 2..6 {
+        let (status, head, body) =
+            get(edge.addresses().callers, "/once/a", &format!("r-{number}")).await;
+        assert_eq!(status, 503, "{head}{body}");
+        assert!(body.contains("not-run") && body.contains("limited"), "{body}");
+        assert!(header(&head, "retry-after").is_some(), "{head}");
+    }
+    assert_eq!(target.request_count(), before);
+}
+
 #[tokio::test]
 async fn a_draining_target_gets_no_more_requests() {
     let targets =
--- a/toucanhoist-edge/tests/support/mod.rs
+++ b/toucanhoist-edge/tests/support/mod.rs
@@ -202,6 +202,8 @@
     Misdirect,
     /// Answers once it has received two requests.
     AwaitTwo,
+    /// Answers, and names a limit that allows the next request after many seconds.
+    Limit,
 }
 
 /// A target on loopback.
@@ -262,6 +264,7 @@
         let path = head.split(' ').nth(1).unwrap_or_default();
         let complete = answer("200 OK", &id, "", path);
         let text = match behaviour {
+            Behaviour::Limit => answer("200 OK", &id, "toucanhoist-limit: 0.01\r\n", path),
             Behaviour::Answer | Behaviour::AwaitTwo | Behaviour::LateCopy => complete,
             Behaviour::Shed => {
                 answer("503 Service Unavailable", &id, "toucanhoist-not-run: 1\r\n", "")
--- a/toucanhoist-wire/src/convert/steering.rs
+++ b/toucanhoist-wire/src/convert/steering.rs
@@ -1,6 +1,11 @@
-use toucanhoist_core::steering::{Observations, Tag, Version};
+use std::time::Duration;
 
-use crate::steering;
+use toucanhoist_core::{
+    steering::{LimitReport, Observations, Tag, Version, limit::Statement},
+    unit::Rate,
+};
+
+use crate::{Error, steering};
 
 /// Upper bound on a target's counts in a message; far more requests than end between two messages.
 const COUNT_MAX: u32 = 1_000;
@@ -33,3 +38,33 @@
         Observations { times, multiples, ends, failed: message.failed.min(ends) }
     }
 }
+
+impl From<LimitReport> for steering::Limit {
+    fn from(report: LimitReport) -> steering::Limit {
+        let Statement { born, version, limit } = report.statement;
+        steering::Limit {
+            target: report.target.to_string(),
+            born,
+            version,
+            per_second: limit.map(Rate::as_per_second),
+            age_ms: u32::try_from(report.age.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl TryFrom<steering::Limit> for LimitReport {
+    type Error = Error;
+
+    fn try_from(message: steering::Limit) -> Result<LimitReport, Error> {
+        let steering::Limit { target, born, version, per_second, age_ms } = message;
+        let is_rate = |rate: f64| rate.is_finite() && rate >= 0.0;
+        if per_second.is_some_and(|rate| !is_rate(rate)) {
+            return Err(Error::field("limit"));
+        }
+        Ok(LimitReport {
+            target: target.parse().map_err(|_| Error::field("target"))?,
+            statement: Statement { born, version, limit: per_second.map(Rate::per_second) },
+            age: Duration::from_millis(age_ms.into()),
+        })
+    }
+}
