Return answers with a stated length that are larger than the buffer

Cause: Body::size_hint raised the lower bound by the buffered bytes before the upper one; SizeHint asserts that the lower bound does not exceed the upper one, also in release builds, so the task of the connection panicked. The new test failed before ('assertion failed: value <= self.upper', 'an answer' missing) and passes now; existing tests of large bodies cover serve only. Change: the upper bound is set first, and both saturate.

--- a/toucanhoist-edge/src/gateway/answer.rs
+++ b/toucanhoist-edge/src/gateway/answer.rs
@@ -59,11 +59,12 @@
         let first = self.first.as_ref().map_or(0, Bytes::len) as u64;
         match &self.rest {
             Some(rest) => {
-                let mut hint = rest.size_hint();
-                hint.set_lower(hint.lower() + first);
+                // An upper bound below the lower one panics, so the upper bound is set first.
+                let mut hint = SizeHint::new();
                 if let Some(upper) = rest.size_hint().upper() {
-                    hint.set_upper(upper + first);
+                    hint.set_upper(upper.saturating_add(first));
                 }
+                hint.set_lower(rest.size_hint().lower().saturating_add(first));
                 hint
             }
             None => SizeHint::with_exact(first),
--- a/toucanhoist-edge/tests/edge.rs
+++ b/toucanhoist-edge/tests/edge.rs
@@ -19,8 +19,8 @@
 mod support;
 
 use support::{
-    Behaviour, FakeTarget, KEY, config, entry, get, header, host, name, put_config, read, request,
-    send, site, status, wait_until_ready,
+    Behaviour, FakeTarget, KEY, LARGE_BODY_BYTES, config, entry, get, header, host, name,
+    put_config, read, request, send, site, status, wait_until_ready,
 };
 
 #[tokio::test]
@@ -187,6 +187,15 @@
     assert!(header(&head, "retry-after").is_some(), "{head}");
 }
 
+#[tokio::test]
+async fn an_answer_that_is_larger_than_the_buffer_is_returned_whole() {
+    let target = FakeTarget::spawn(Behaviour::Answer).await;
+    let (edge, _store) = site(&[("t1", &target)]).await;
+    target.set_behaviour(Behaviour::Large);
+    let (status, head, body) = get(edge.addresses().callers, "/safe/a", "r-1").await;
+    assert_eq!((status, body.len()), (200, LARGE_BODY_BYTES), "{head}");
+}
+
 #[tokio::test]
 async fn a_request_beyond_its_targets_limit_is_refused_at_once() {
     let target = FakeTarget::spawn(Behaviour::Answer).await;
--- a/toucanhoist-edge/tests/support/mod.rs
+++ b/toucanhoist-edge/tests/support/mod.rs
@@ -175,6 +175,9 @@
 /// Delay of a late copy of an answer.
 const LATE_COPY_DELAY: Duration = Duration::from_millis(30);
 
+/// Size of a large body; more than a host buffers of one.
+pub const LARGE_BODY_BYTES: usize = 1_024 * 1_024;
+
 /// How a target handles requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Behaviour {
@@ -200,6 +203,8 @@
     Truncate,
     /// Answers 421, as if it were another target.
     Misdirect,
+    /// Answers with a body of [`LARGE_BODY_BYTES`].
+    Large,
     /// Answers once it has received two requests.
     AwaitTwo,
     /// Answers, and names a limit that allows the next request after many seconds.
@@ -264,6 +269,7 @@
         let path = head.split(' ').nth(1).unwrap_or_default();
         let complete = answer("200 OK", &id, "", path);
         let text = match behaviour {
+            Behaviour::Large => answer("200 OK", &id, "", &"a".repeat(LARGE_BODY_BYTES)),
             Behaviour::Limit => answer("200 OK", &id, "toucanhoist-limit: 0.01\r\n", path),
             Behaviour::Answer | Behaviour::AwaitTwo | Behaviour::LateCopy => complete,
             Behaviour::Shed => {
