Cut a body that goes on past its request's deadline

What callers saw: an answer whose body never ends went on for as long as both sides kept the connection; a caller that read nothing held a target's lease and connection without end. Cause: the deadline bounds the head and the first 256 KiB of a body only. The rest was streamed without a deadline, and is not polled while a caller does not read. Change: a task watches the deadline of a body that is larger than the buffer, and has the caller's connection reset, so that the answer looks complete to nobody, also where the end of the connection would end it. The lease ends with the body: answered, broken, unanswered or abandoned. What an answer announces counts from its head on, not from the end of its body. Conclusion: time is bounded by the request's deadline, memory by the buffers.

--- a/toucanhoist-core/src/steering/balancer.rs
+++ b/toucanhoist-core/src/steering/balancer.rs
@@ -6,8 +6,8 @@
 };
 
 use super::{
-    Attempt, ColdLimit, Config, LimitReport, Observations, Outcome, Placement, PlacementRequest,
-    ProcessingTime, Refused, RetryBudget, ServiceTerms, Target, Ticket, budget,
+    Announced, Attempt, ColdLimit, Config, LimitReport, Observations, Outcome, Placement,
+    PlacementRequest, ProcessingTime, Refused, RetryBudget, ServiceTerms, Target, Ticket, budget,
     limit::{self, Knowledge},
 };
 use crate::{clock::Time, id};
@@ -247,11 +247,20 @@
         if let Some(service) = self.services.get_mut(&ticket.service) {
             service.end(now, ticket, outcome);
         }
-        let (announced, ran) = match outcome {
-            Outcome::Answered { announced, .. } => (announced, true),
-            Outcome::Shed { announced, .. } => (announced, false),
-            _ => return,
-        };
+        match outcome {
+            Outcome::Answered { announced, .. } => self.hear(now, ticket, announced, true),
+            Outcome::Shed { announced, .. } => self.hear(now, ticket, announced, false),
+            _ => {}
+        }
+    }
+
+    /// Records what an answer announces whose body has not ended yet.
+    pub fn record_announced(&mut self, now: Time, ticket: &Ticket, announced: Announced) {
+        self.hear(now, ticket, announced, true);
+    }
+
+    /// Records what an answer announces; `ran` says whether the target ran the request.
+    fn hear(&mut self, now: Time, ticket: &Ticket, announced: Announced, ran: bool) {
         if self.limits.hear(now, ticket, announced, ran) {
             self.apply_limit(now, &ticket.target);
         }
--- a/toucanhoist-edge/src/gateway.rs
+++ b/toucanhoist-edge/src/gateway.rs
@@ -11,6 +11,7 @@
 use {
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
+    socket2::SockRef,
     tokio::{
         net::{TcpListener, TcpStream},
         sync::watch,
@@ -122,11 +123,22 @@
         // The connection has ended, so nobody is left to answer.
         _ = connection.as_mut() => return,
         () = pipeline::caller_disconnected(&socket, &pipeline) => return,
+        () = pipeline.overdue().notified() => return reset(&socket),
         // Requests that have started are answered before the connection closes.
         () = closing(&mut phase, &pipeline) => {}
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = pipeline.overdue().notified() => reset(&socket),
+    }
+}
+
+/// Has a connection reset when it is closed, so that an answer of which the rest is missing does not look
+/// complete, even to a caller that takes the end of the connection as its end.
+fn reset(socket: &TcpStream) {
+    // A connection that has already ended cannot be reset.
+    let _ = SockRef::from(socket).set_linger(Some(Duration::ZERO));
 }
 
 /// Waits until the host closes.
--- a/toucanhoist-edge/src/gateway/answer.rs
+++ b/toucanhoist-edge/src/gateway/answer.rs
@@ -1,21 +1,33 @@
 //! Answers to callers: a target's answer, or a refusal as a problem document (RFC 9457).
 
 use std::{
+    fmt::Display,
     pin::Pin,
-    task::{Context, Poll},
+    sync::Arc,
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
 use {
     bytes::Bytes,
-    http::{HeaderValue, Response, StatusCode, header},
+    http::{HeaderValue, Response, StatusCode, header, response::Parts},
     http_body::{Frame, SizeHint},
     hyper::body::Incoming,
     serde::Serialize,
-    toucanhoist_core::refusal::{Code, Refusal},
+    tokio::{
+        sync::Notify,
+        task::AbortHandle,
+        time::{self, Instant},
+    },
+    toucanhoist_core::{
+        event::Event,
+        refusal::{Code, Refusal},
+        steering::Outcome,
+    },
 };
 
-use crate::{dialect::Dialect, headers::strip_hop_by_hop, steer::Lease, target};
+use super::{Shared, request::Admitted};
+use crate::{dialect::Dialect, headers::strip_hop_by_hop, steer::Lease};
 
 const MEDIA_TYPE: &str = "application/problem+json";
 
@@ -23,14 +35,91 @@
 #[derive(Debug, Default)]
 pub(super) struct Body {
     first: Option<Bytes>,
-    rest: Option<Incoming>,
-    /// Lease of the target, held until the rest has arrived.
-    _lease: Option<Lease>,
+    rest: Option<Box<Rest>>,
 }
 
 impl Body {
     fn complete(content: Bytes) -> Body {
-        Body { first: Some(content), rest: None, _lease: None }
+        Body { first: Some(content), rest: None }
+    }
+
+    /// Notifies `overdue` when the deadline passes before the whole body has been sent. The body itself may not
+    /// be polled by then, as a caller that reads nothing holds up the connection.
+    pub(super) fn watch(&mut self, overdue: &Arc<Notify>) {
+        let Some(rest) = &mut self.rest else { return };
+        let (overdue, deadline) = (Arc::clone(overdue), rest.deadline);
+        let watch = tokio::spawn(async move {
+            time::sleep_until(deadline).await;
+            overdue.notify_one();
+        });
+        rest.watch = Some(watch.abort_handle());
+    }
+}
+
+/// Rest of a body that is larger than the buffer.
+#[derive(Debug)]
+pub(super) struct Rest {
+    body: Incoming,
+    /// Lease of the target, held until the body has ended, and the outcome if that is complete. `None` if the
+    /// lease has ended.
+    lease: Option<(Lease, Outcome)>,
+    /// Whether the body has ended.
+    has_ended: bool,
+    deadline: Instant,
+    shared: Arc<Shared>,
+    id: Box<str>,
+    /// Task that watches the deadline.
+    watch: Option<AbortHandle>,
+}
+
+impl Rest {
+    pub(super) fn new(
+        shared: &Arc<Shared>,
+        request: &Admitted,
+        body: Incoming,
+        lease: Option<(Lease, Outcome)>,
+    ) -> Rest {
+        Rest {
+            body,
+            lease,
+            has_ended: false,
+            deadline: request.deadline,
+            shared: Arc::clone(shared),
+            id: request.id.clone(),
+            watch: None,
+        }
+    }
+
+    /// Records the end of an answer that is not complete.
+    fn end_broken(&mut self, reason: &dyn Display, outcome: Outcome) {
+        if std::mem::replace(&mut self.has_ended, true) {
+            return;
+        }
+        self.shared.journal.record(Event::Broken, &self.id, &[("reason", reason)]);
+        metrics::counter!("toucanhoist_answers_broken_total").increment(1);
+        if let Some((lease, _)) = self.lease.take() {
+            lease.end(outcome);
+        }
+    }
+
+    fn end_complete(&mut self) {
+        self.has_ended = true;
+        if let Some((lease, outcome)) = self.lease.take() {
+            lease.end(outcome);
+        }
+    }
+}
+
+impl Drop for Rest {
+    fn drop(&mut self) {
+        if let Some(watch) = &self.watch {
+            watch.abort();
+        }
+        if Instant::now() >= self.deadline {
+            self.end_broken(&"the deadline passed", Outcome::Unanswered);
+        } else {
+            self.end_broken(&"the caller disconnected", Outcome::Abandoned);
+        }
     }
 }
 
@@ -45,10 +134,17 @@
         if let Some(first) = self.first.take().filter(|first| !first.is_empty()) {
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
-        match &mut self.rest {
-            Some(rest) => Pin::new(rest).poll_frame(context),
-            None => Poll::Ready(None),
+        let Some(rest) = &mut self.rest else { return Poll::Ready(None) };
+        let frame = ready!(Pin::new(&mut rest.body).poll_frame(context));
+        match &frame {
+            None => {
+                rest.end_complete();
+                self.rest = None;
+            }
+            Some(Err(error)) => rest.end_broken(error, Outcome::Broken),
+            Some(Ok(_)) => {}
         }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -59,12 +155,13 @@
         let first = self.first.as_ref().map_or(0, Bytes::len) as u64;
         match &self.rest {
             Some(rest) => {
+                let body = &rest.body;
                 // An upper bound below the lower one panics, so the upper bound is set first.
                 let mut hint = SizeHint::new();
-                if let Some(upper) = rest.size_hint().upper() {
+                if let Some(upper) = body.size_hint().upper() {
                     hint.set_upper(upper.saturating_add(first));
                 }
-                hint.set_lower(rest.size_hint().lower().saturating_add(first));
+                hint.set_lower(body.size_hint().lower().saturating_add(first));
                 hint
             }
             None => SizeHint::with_exact(first),
@@ -72,15 +169,15 @@
     }
 }
 
-/// Returns a target's answer. `lease` is held until the whole body has been sent. `without_body` is set
-/// for answers that state the length of a body but have none, as those to HEAD requests.
+/// Returns a target's answer, of which `rest` is not in the buffer. `without_body` is set for answers that
+/// state the length of a body but have none, as those to HEAD requests.
 pub(super) fn of_target(
-    answer: target::Answer,
+    head: Parts,
+    first: Bytes,
+    rest: Option<Rest>,
     without_body: bool,
-    lease: Option<Lease>,
 ) -> Response<Body> {
-    let target::Answer { head, first, rest, .. } = answer;
-    let mut response = Response::new(Body { first: Some(first), rest, _lease: lease });
+    let mut response = Response::new(Body { first: Some(first), rest: rest.map(Box::new) });
     *response.status_mut() = head.status;
     *response.headers_mut() = head.headers;
     let headers = response.headers_mut();
--- a/toucanhoist-edge/src/gateway/attempt.rs
+++ b/toucanhoist-edge/src/gateway/attempt.rs
@@ -92,14 +92,14 @@
 /// Ends a request without a successful answer: with the failure answer of a target if there is one, or else
 /// with the refusal.
 fn finish(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     request: &Admitted,
     attempts: Attempts,
     refusal: Refusal,
 ) -> Result<Response<Body>, Refusal> {
     if let Some(failure) = attempts.failure {
         log_answer(shared, request, failure.head.status, attempts.sends, None);
-        return Ok(answer::of_target(failure, is_without_body(&request.head.method), None));
+        return Ok(to_caller(shared, request, failure, None));
     }
     if attempts.may_have_run && refusal.verdict == Verdict::NotRun {
         return Err(Refusal::may_have_run(Code::TargetFailed, refusal.detail));
@@ -199,7 +199,7 @@
 
 /// Handles an answer, and decides whether it goes to the caller.
 fn handle_answer(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     request: &Admitted,
     lease: Lease,
     answer: target::Answer,
@@ -225,10 +225,11 @@
         return Next::Refuse(Refusal::not_run(Code::NoRoom, detail).retry_after(SHED_RETRY_AFTER));
     }
     let failed = status.is_server_error() || promises_not_run(status);
+    let outcome = Outcome::Answered { took, report, announced, failed };
     if failed {
         attempts.may_have_run = true;
-        lease.end(Outcome::Answered { took, report, announced, failed });
         if promises_not_run(status) {
+            lease.end(outcome);
             // A caller would take the status as a promise that the request did not run, and the target made
             // no such promise.
             if may_repeat(request, attempts) {
@@ -240,22 +241,33 @@
             return Next::Refuse(Refusal::may_have_run(Code::TargetFailed, detail));
         }
         if may_repeat(request, attempts) {
+            lease.end(outcome);
             attempts.failure = Some(answer);
             return Next::Retry;
         }
-        log_answer(shared, request, status, attempts.sends, Some(&target));
-        return Next::Done(answer::of_target(answer, is_without_body(&request.head.method), None));
+    } else {
+        shared.steer.send(Input::Answered(request.fingerprint));
     }
     log_answer(shared, request, status, attempts.sends, Some(&target));
-    shared.steer.send(Input::Answered(request.fingerprint));
-    let body_lease = match &answer.rest {
-        Some(_) => Some(lease),
-        None => {
-            lease.end(Outcome::Answered { took, report, announced, failed });
-            None
-        }
-    };
-    Next::Done(answer::of_target(answer, is_without_body(&request.head.method), body_lease))
+    if answer.rest.is_none() {
+        lease.end(outcome);
+        return Next::Done(to_caller(shared, request, answer, None));
+    }
+    // The lease ends with the body, but the limit must be kept from now on.
+    shared.steer.send(Input::Announced(lease.ticket().clone().into(), announced));
+    Next::Done(to_caller(shared, request, answer, Some((lease, outcome))))
+}
+
+/// Returns the answer of a target for the caller. `lease` ends with the body.
+fn to_caller(
+    shared: &Arc<Shared>,
+    request: &Admitted,
+    answer: target::Answer,
+    lease: Option<(Lease, Outcome)>,
+) -> Response<Body> {
+    let target::Answer { head, first, rest, .. } = answer;
+    let rest = rest.map(|body| answer::Rest::new(shared, request, body, lease));
+    answer::of_target(head, first, rest, is_without_body(&request.head.method))
 }
 
 /// Whether callers take a status as a promise that the request did not run.
--- a/toucanhoist-edge/src/gateway/pipeline.rs
+++ b/toucanhoist-edge/src/gateway/pipeline.rs
@@ -71,6 +71,8 @@
     start: Box<Start>,
     /// Notified when a request waits for an earlier one.
     queued: Notify,
+    /// Notified when the deadline of an answer passes that has not been sent whole.
+    overdue: Arc<Notify>,
 }
 
 #[derive(Default)]
@@ -87,7 +89,12 @@
         start: impl Fn(&Parts) -> Option<AnswerTask> + Send + Sync + 'static,
     ) -> Arc<Pipeline> {
         let (state, queued) = (Mutex::default(), Notify::new());
-        Arc::new(Pipeline { state, start: Box::new(start), queued })
+        Arc::new(Pipeline { state, start: Box::new(start), queued, overdue: Arc::default() })
+    }
+
+    /// Returns what is notified when the deadline of an answer passes that has not been sent whole.
+    pub(super) fn overdue(&self) -> &Arc<Notify> {
+        &self.overdue
     }
 
     /// Parses bytes that are passed to the HTTP library, and starts the requests that may run early.
--- a/toucanhoist-edge/src/gateway/request.rs
+++ b/toucanhoist-edge/src/gateway/request.rs
@@ -86,6 +86,7 @@
         None => respond(shared, head, Some(body)).await,
     };
     pipeline.finish();
+    response.body_mut().watch(pipeline.overdue());
     // A connection closes only after the requests that were started early are answered.
     if *shared.phase.borrow() != Phase::Serving && !pipeline.has_early_answers() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/toucanhoist-edge/src/steer.rs
+++ b/toucanhoist-edge/src/steer.rs
@@ -77,6 +77,8 @@
     Place(Box<PendingRequest>),
     /// The request of a lease has ended.
     End(Box<Ticket>, Outcome),
+    /// The target of a request has begun an answer that announces a limit, or none.
+    Announced(Box<Ticket>, Announced),
     /// A waiting request was cancelled.
     Cancel(u64),
     /// A target crashed while it ran a request.
@@ -328,6 +330,10 @@
                 self.balancer.end(now, &ticket, outcome);
                 self.log_limits();
             }
+            Input::Announced(ticket, announced) => {
+                self.balancer.record_announced(now, &ticket, announced);
+                self.log_limits();
+            }
             Input::Cancel(number) => {
                 self.replies.remove(&number);
                 self.balancer.cancel(number);
