Break off a streamed body of serve at the deadline of its request

What callers saw: an answer without end went on, and held a slot of its target, for as long as both sides kept the connection. Cause: the same as in edge: the deadline bounded the wait for an answer's head only. A body that nobody polls, because its caller reads nothing, was not bounded by anything. Change: Guarded drops body and guard at the deadline, also unpolled, and ends the answer with an error, so that it does not look complete.

--- a/src/host/dispatch.rs
+++ b/src/host/dispatch.rs
@@ -204,7 +204,7 @@
             }
             None => {
                 slot.record_answer();
-                Ok(target::attach(answer, slot))
+                Ok(target::attach(answer, slot, head.deadline))
             }
         },
         Err(refusal) => {
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -3,7 +3,8 @@
 use std::{
     io,
     pin::Pin,
-    task::{Context, Poll, ready},
+    sync::{Arc, Mutex, MutexGuard},
+    task::{Context, Poll, Waker},
 };
 
 use {
@@ -12,7 +13,10 @@
     http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode},
     http_body::{Frame, SizeHint},
     http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody},
-    tokio::time::Instant,
+    tokio::{
+        task::AbortHandle,
+        time::{self, Instant},
+    },
     toucanhoist_core::{id, key::Digest, quarantine::Fingerprint},
 };
 
@@ -108,39 +112,82 @@
     StreamBody::new(stream.map_ok(Frame::data)).boxed_unsync()
 }
 
-/// A body that keeps a guard until it ends, fails or is dropped.
+/// A body that keeps a guard until it ends, fails, is dropped, or its deadline passes.
+///
+/// At the deadline, body and guard are dropped even if nobody polls the body, as a caller that reads
+/// nothing would otherwise hold them without end.
 pub struct Guarded<T> {
-    body: Body,
-    guard: Option<T>,
+    state: Arc<Mutex<State<T>>>,
+    watch: AbortHandle,
 }
 
-impl<T> Guarded<T> {
+struct State<T> {
+    current: Option<(Body, T)>,
+    is_overdue: bool,
+    /// Wakes the reader of the body.
+    waker: Option<Waker>,
+}
+
+impl<T: Send + 'static> Guarded<T> {
     /// Creates a body that keeps `guard`.
-    pub fn new(body: Body, guard: T) -> Guarded<T> {
-        Guarded { body, guard: Some(guard) }
+    pub fn new(body: Body, guard: T, deadline: Instant) -> Guarded<T> {
+        let state = State { current: Some((body, guard)), is_overdue: false, waker: None };
+        let state = Arc::new(Mutex::new(state));
+        let watched = Arc::clone(&state);
+        let watch = tokio::spawn(async move {
+            time::sleep_until(deadline).await;
+            let mut state = watched.lock().expect("no holder of the lock panics");
+            if state.current.take().is_some() {
+                state.is_overdue = true;
+                state.waker.take().into_iter().for_each(Waker::wake);
+            }
+        });
+        Guarded { state, watch: watch.abort_handle() }
+    }
+}
+
+impl<T> Drop for Guarded<T> {
+    fn drop(&mut self) {
+        self.watch.abort();
+    }
+}
+
+impl<T> Guarded<T> {
+    fn state(&self) -> MutexGuard<'_, State<T>> {
+        self.state.lock().expect("no holder of the lock panics")
     }
 }
 
-impl<T: Unpin> http_body::Body for Guarded<T> {
+impl<T> http_body::Body for Guarded<T> {
     type Data = Bytes;
     type Error = io::Error;
 
     fn poll_frame(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        let mut state = self.state();
+        let Some((body, _)) = &mut state.current else {
+            let is_overdue = std::mem::take(&mut state.is_overdue);
+            let overdue = || io::Error::new(io::ErrorKind::TimedOut, "the deadline passed");
+            return Poll::Ready(is_overdue.then(|| Err(overdue())));
+        };
+        let Poll::Ready(frame) = Pin::new(body).poll_frame(context) else {
+            state.waker = Some(context.waker().clone());
+            return Poll::Pending;
+        };
         if !matches!(frame, Some(Ok(_))) {
-            self.guard = None;
+            state.current = None;
         }
         Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        let state = self.state();
+        state.current.as_ref().map_or(!state.is_overdue, |(body, _)| body.is_end_stream())
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        self.state().current.as_ref().map_or_else(SizeHint::new, |(body, _)| body.size_hint())
     }
 }
--- a/src/host/target.rs
+++ b/src/host/target.rs
@@ -20,7 +20,7 @@
     tokio::{
         net::TcpStream,
         sync::{mpsc, oneshot},
-        time,
+        time::{self, Instant},
     },
     toucanhoist_core::refusal::{Code, Refusal},
 };
@@ -235,9 +235,11 @@
     Refusal::may_have_run(Code::TargetFailed, error.to_string())
 }
 
-/// Attaches a guard to an answer, which drops it when the body has ended.
-pub fn attach<T: Send + Unpin + 'static>(mut answer: Answer, guard: T) -> Answer {
-    answer.body = Guarded::new(answer.body, guard).boxed_unsync();
+/// Attaches a guard to an answer, which drops it when the body has ended or its deadline passes.
+pub fn attach<T: Send + 'static>(mut answer: Answer, guard: T, deadline: Instant) -> Answer {
+    if !answer.body.is_end_stream() {
+        answer.body = Guarded::new(answer.body, guard, deadline).boxed_unsync();
+    }
     answer
 }
 
--- a/tests/edge/streams.rs
+++ b/tests/edge/streams.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -24,12 +24,15 @@
 /// Maximum of a body's bytes in flight, including the kernel's buffers of each hop.
 const IN_FLIGHT_MAX_BYTES: u64 = 32 * 1_024 * 1_024;
 const BODY_BYTES: u64 = 128 * 1_024 * 1_024;
+/// Time in which a caller must see the end of an answer; many times the route's deadline.
+const END_MAX: Duration = Duration::from_secs(20);
 const CHUNK_BYTES: usize = 64 * 1_024;
 
 /// A target that counts the bytes of its answers.
 struct Counting {
     address: SocketAddr,
     bytes: Arc<AtomicU64>,
+    closed: Arc<AtomicBool>,
 }
 
 impl Counting {
@@ -53,7 +56,32 @@
                 }
             }
         });
-        Counting { address, bytes }
+        Counting { address, bytes, closed: Arc::default() }
+    }
+
+    /// Starts a target whose answers have no end.
+    async fn endless_sender() -> Counting {
+        let listener = TcpListener::bind(any_port()).await.expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let target = Counting { address, bytes: Arc::default(), closed: Arc::default() };
+        let (bytes, closed) = (Arc::clone(&target.bytes), Arc::clone(&target.closed));
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let _ = stream.read(&mut [0; 4_096]).await;
+                let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+                let _ = stream.write_all(head.as_bytes()).await;
+                let chunk = format!("{CHUNK_BYTES:x}\r\n{}\r\n", "a".repeat(CHUNK_BYTES));
+                while stream.write_all(chunk.as_bytes()).await.is_ok() {
+                    bytes.fetch_add(chunk.len() as u64, Ordering::Relaxed);
+                }
+                closed.store(true, Ordering::Relaxed);
+            }
+        });
+        target
+    }
+
+    fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Relaxed)
     }
 
     /// Starts a target that reads no more than the head of a request.
@@ -67,7 +95,7 @@
                 open_streams.push(stream);
             }
         });
-        Counting { address, bytes: Arc::default() }
+        Counting { address, bytes: Arc::default(), closed: Arc::default() }
     }
 }
 
@@ -153,3 +181,32 @@
     time::resume();
     until("the target stops running the request", || running() == 0).await;
 }
+
+#[rstest]
+#[tokio::test]
+async fn a_body_that_never_ends_is_cut_at_the_deadline(
+    #[values("/near/short/a", "/far/short/a")] path: &str,
+    #[values(true, false)] is_read: bool,
+) {
+    let target = Counting::endless_sender().await;
+    let cluster = Cluster::spawn(target.address, target.address).await;
+    let answer = cluster.send(empty(keyed(path))).await;
+    assert_eq!(answer.status().as_u16(), 200);
+    if !is_read {
+        until("the connection to the target closes", || target.is_closed()).await;
+        let in_flight = target.bytes.load(Ordering::Relaxed);
+        assert!(in_flight <= IN_FLIGHT_MAX_BYTES, "{in_flight} bytes are buffered");
+    }
+    let mut body = answer.into_body();
+    let reading = async {
+        while let Some(frame) = body.frame().await {
+            if frame.is_err() {
+                return true;
+            }
+        }
+        false
+    };
+    let is_broken = time::timeout(END_MAX, reading).await.expect("the answer ends");
+    assert!(is_broken, "the answer looks complete");
+    until("the connection to the target closes", || target.is_closed()).await;
+}
--- a/tests/edge/support.rs
+++ b/tests/edge/support.rs
@@ -237,6 +237,10 @@
             "access": access, "repeatable": repeatable,
         })
     };
+    let deadline = |mut route: Value| {
+        route["deadline"] = json!("300ms");
+        route
+    };
     let target = |service: &str, data_centre: &str, address: SocketAddr| {
         json!({
             "name": format!("{service}-1"), "service": service,
@@ -259,6 +263,8 @@
         "routes": [
             route("near", "/", &["GET", "PUT"], "keyed", true),
             route("near", "/open/", &["GET"], "open", true),
+            deadline(route("near", "/short/", &["GET"], "keyed", true)),
+            deadline(route("far", "/short/", &["GET"], "keyed", true)),
             route("near", "/records/", &["POST"], "keyed", false),
             route("far", "/", &["GET", "PUT"], "keyed", true),
             route("probe", "/", &["GET"], "keyed", true),
