Test the order of statements about limits

Change: steering limit_statements: which of two statements wins, an answer to an earlier request that names no limit or a higher or lower one, late reports, an earlier incarnation, a target that is not known yet.

--- a/toucanhoist-core/tests/steering.rs
+++ b/toucanhoist-core/tests/steering.rs
@@ -16,6 +16,8 @@
 mod connectivity;
 #[path = "steering/deferral.rs"]
 mod deferral;
+#[path = "steering/limit_statements.rs"]
+mod limit_statements;
 #[path = "steering/load.rs"]
 mod load;
 #[path = "steering/observations.rs"]
