Send nothing to cold targets until a host knows what it has sent

Hosts that restart within a second send their shares twice in one second. Evidence: steering balancer, a_cold_target_gets_no_more_than_it_tolerates_when_ hosts_restart: eight hosts that serve again 300 ms after a kill sent 36 requests in a second, 18 allowed; 18 or fewer now, and the restarted hosts use it again. Change: ColdLimit has no room for the length of its window after the host's start. A host that starts with its fleet has no callers by then.

--- a/toucanhoist-core/src/steering/balancer.rs
+++ b/toucanhoist-core/src/steering/balancer.rs
@@ -48,6 +48,8 @@
     pub cold_factor: f64,
     /// Requests a second that are allowed in addition.
     pub cold_extra: f64,
+    /// When the host started; what it sent to targets before is not known.
+    pub started: Time,
     /// Seed of the choice of the hosts that are told of limits.
     pub seed: u64,
 }
@@ -177,7 +179,7 @@
         let Some(entry) = entry else { return };
         let mut target = match target {
             Some(target) => target.update(entry, &self.topology),
-            None => TrackedTarget::new(name, entry.clone(), &self.topology),
+            None => TrackedTarget::new(self.settings.started, name, entry.clone(), &self.topology),
         };
         target.extend_cold(now, entry.cold_left);
         self.targets.insert(name.clone(), entry.service.clone());
--- a/toucanhoist-core/src/steering/balancer/tracked_target.rs
+++ b/toucanhoist-core/src/steering/balancer/tracked_target.rs
@@ -70,7 +70,12 @@
 }
 
 impl TrackedTarget {
-    pub(super) fn new(name: &id::Target, entry: Target, topology: &Topology) -> TrackedTarget {
+    pub(super) fn new(
+        started: Time,
+        name: &id::Target,
+        entry: Target,
+        topology: &Topology,
+    ) -> TrackedTarget {
         TrackedTarget {
             name: name.clone(),
             hash: XxHash64::oneshot(0, name.as_str().as_bytes()),
@@ -81,7 +86,7 @@
             load: Load::default(),
             queued: 0,
             cold_until: Time::ZERO,
-            cold_limit: ColdLimit::default(),
+            cold_limit: ColdLimit::new(started),
             cold_share: 0,
             misdirected: false,
             statement: None,
--- a/toucanhoist-core/src/steering/cold.rs
+++ b/toucanhoist-core/src/steering/cold.rs
@@ -15,9 +15,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct ColdLimit {
     sent: VecDeque<Time>,
+    /// Time from which it is known what the host has sent.
+    known_from: Time,
 }
 
 impl ColdLimit {
+    /// Creates the limit of a host that started at `started`, and may have sent requests before.
+    pub fn new(started: Time) -> ColdLimit {
+        ColdLimit { sent: VecDeque::new(), known_from: started + WINDOW }
+    }
+
     /// Returns the requests a second that one host may send, where `rank` is its rank among `hosts`
     /// hosts for the target, from 0.
     pub fn share(rate: f64, rank: usize, hosts: usize) -> usize {
@@ -36,7 +43,7 @@
         while self.sent.front().is_some_and(|&sent| now >= sent + WINDOW) {
             self.sent.pop_front();
         }
-        self.sent.len() < share
+        now >= self.known_from && self.sent.len() < share
     }
 
     /// Counts a request that is sent.
--- a/toucanhoist-core/tests/steering/balancer.rs
+++ b/toucanhoist-core/tests/steering/balancer.rs
@@ -3,7 +3,8 @@
 use {
     rstest::rstest,
     toucanhoist_core::steering::{
-        Announced, Attempt, Balancer, Outcome, Placement, Refused, Report, TargetState, Ticket,
+        Announced, Attempt, Balancer, Outcome, Placement, Refused, Report, Settings, TargetState,
+        Ticket,
     },
 };
 
@@ -192,6 +193,43 @@
     assert!((2..=3).contains(&sent.count()));
 }
 
+/// Eight hosts are killed and serve again 300 ms later.
+#[test]
+fn a_cold_target_gets_no_more_than_it_tolerates_when_hosts_restart() {
+    let mut cold = target("n1", 100);
+    cold.cold_left = Duration::from_secs(3);
+    let start = |millis: u64, number: usize| {
+        let settings = Settings { started: at(millis), ..settings(&format!("h{number}"), "n1") };
+        let mut balancer = Balancer::new(settings);
+        balancer.set_config(at(millis), &config());
+        balancer.set_hosts(at(millis), eight_hosts());
+        balancer.set_target(at(millis), &target_id("t1"), Some(&cold));
+        balancer
+    };
+    // The hosts started long before the first request.
+    let mut hosts: Vec<Balancer> = (1..=8).map(|number| start(0, number)).collect();
+    let mut sent = Vec::new();
+    for millis in (2_000..5_000).step_by(10) {
+        if millis == 2_500 {
+            hosts = (1..=8).map(|number| start(2_800, number)).collect();
+        }
+        if (2_500..2_800).contains(&millis) {
+            continue;
+        }
+        for (number, host) in (0..).zip(&mut hosts) {
+            let decided = host.place(at(millis), request(millis * 8 + number, at(millis)));
+            let is_sent =
+                |(_, placement): &&(u64, Placement)| matches!(placement, Placement::Send(_));
+            sent.extend(decided.iter().filter(is_sent).map(|_| millis));
+        }
+    }
+    let within = |from: u64| sent.iter().filter(|at| (from..from + 1_000).contains(*at)).count();
+    let most = sent.iter().map(|from| within(*from)).max().unwrap_or(0);
+    // 9 requests a second x 1.5 + 5.
+    assert!(most <= 18, "{most} requests in a second");
+    assert!(sent.iter().any(|sent| *sent > 2_800), "restarted hosts use it again");
+}
+
 #[test]
 fn targets_of_a_data_centre_whose_evacuation_ends_count_as_cold() {
     let mut balancer = balancer(&[("t1", "n1", 100)]);
--- a/toucanhoist-core/tests/steering/support.rs
+++ b/toucanhoist-core/tests/steering/support.rs
@@ -17,7 +17,7 @@
 }
 
 pub fn at(millis: u64) -> Time {
-    Time::from_millis(1_000 + millis)
+    Time::from_millis(10_000 + millis)
 }
 
 /// Two regions: `north` with data centres `n1` and `n2`, `south` with `s1`.
@@ -34,6 +34,7 @@
         shift_interval: Duration::from_secs(2),
         cold_factor: 1.5,
         cold_extra: 5.0,
+        started: Time::ZERO,
         seed: host.bytes().map(u64::from).sum(),
     }
 }
