Keep the retry budget of the fleet through restarts

A host that is restarted has its whole budget again, of which it may have used four fifths within the window. Change: for the length of the window a restarted host uses only what it cannot have used before, a fifth. At the first start of a fleet nothing is unknown, so the settings of a balancer say when it was restarted, if it was.

--- a/toucanhoist-core/src/steering/balancer.rs
+++ b/toucanhoist-core/src/steering/balancer.rs
@@ -48,8 +48,9 @@
     pub cold_factor: f64,
     /// Requests a second that are allowed in addition.
     pub cold_extra: f64,
-    /// When the host started; what it sent to targets before is not known.
-    pub started: Time,
+    /// When the host was restarted; what it sent to targets before is not known. `None` at the first start of
+    /// the fleet.
+    pub restarted: Option<Time>,
     /// Seed of the choice of the hosts that are told of limits.
     pub seed: u64,
 }
@@ -166,7 +167,7 @@
         }
         for terms in &config.services {
             let service = self.services.entry(terms.name.clone());
-            let service = service.or_insert_with(|| Service::new(now));
+            let service = service.or_insert_with(|| Service::new(now, self.settings.restarted));
             service.terms = Some(terms.clone());
             service.set_cold_shares(&self.settings, &self.topology);
         }
@@ -179,12 +180,14 @@
         let Some(entry) = entry else { return };
         let mut target = match target {
             Some(target) => target.update(entry, &self.topology),
-            None => TrackedTarget::new(self.settings.started, name, entry.clone(), &self.topology),
+            None => {
+                TrackedTarget::new(self.settings.restarted, name, entry.clone(), &self.topology)
+            }
         };
         target.extend_cold(now, entry.cold_left);
         self.targets.insert(name.clone(), entry.service.clone());
         let service = self.services.entry(entry.service.clone());
-        let service = service.or_insert_with(|| Service::new(now));
+        let service = service.or_insert_with(|| Service::new(now, self.settings.restarted));
         service.insert(&self.settings, &self.topology, target);
         self.apply_limit(now, name);
     }
@@ -208,7 +211,8 @@
         self.apply_peer_reports(now);
         let number = request.number;
         if !self.services.contains_key(&request.service) {
-            self.services.insert(request.service.clone(), Service::new(now));
+            self.services
+                .insert(request.service.clone(), Service::new(now, self.settings.restarted));
         }
         let service = self.services.get_mut(&request.service).expect("it was just inserted");
         if service.admit(now, &self.settings, &self.topology, request) {
--- a/toucanhoist-core/src/steering/balancer/service.rs
+++ b/toucanhoist-core/src/steering/balancer/service.rs
@@ -53,13 +53,13 @@
 }
 
 impl Service {
-    pub(super) fn new(now: Time) -> Service {
+    pub(super) fn new(now: Time, restarted: Option<Time>) -> Service {
         Service {
             terms: None,
             targets: Vec::new(),
             waiting: Vec::new(),
             processing_times: HashMap::new(),
-            retries: RetryBudget::default(),
+            retries: RetryBudget::new(restarted),
             shift: Shift::new(now),
             split: Split::default(),
             planned: None,
--- a/toucanhoist-core/src/steering/balancer/tracked_target.rs
+++ b/toucanhoist-core/src/steering/balancer/tracked_target.rs
@@ -71,7 +71,7 @@
 
 impl TrackedTarget {
     pub(super) fn new(
-        started: Time,
+        restarted: Option<Time>,
         name: &id::Target,
         entry: Target,
         topology: &Topology,
@@ -86,7 +86,7 @@
             load: Load::default(),
             queued: 0,
             cold_until: Time::ZERO,
-            cold_limit: ColdLimit::new(started),
+            cold_limit: ColdLimit::new(restarted),
             cold_share: 0,
             misdirected: false,
             statement: None,
--- a/toucanhoist-core/src/steering/budget.rs
+++ b/toucanhoist-core/src/steering/budget.rs
@@ -28,6 +28,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
     buckets: VecDeque<Bucket>,
+    /// When the host was restarted.
+    restarted: Option<Time>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -38,6 +40,11 @@
 }
 
 impl RetryBudget {
+    /// Creates the budget of a host, which may have made retries before it was restarted.
+    pub fn new(restarted: Option<Time>) -> RetryBudget {
+        RetryBudget { buckets: VecDeque::new(), restarted }
+    }
+
     /// Counts a request of a caller.
     pub fn request(&mut self, now: Time, terms: &Terms) {
         self.bucket(now, terms).requests += 1;
@@ -50,13 +57,22 @@
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let hosts = f64::from(u32::try_from(hosts.max(1)).unwrap_or(u32::MAX));
         let allowed = terms.ratio * f64::from(requests) + terms.extra / hosts;
-        let granted = f64::from(retries + 1) <= allowed * USED_SHARE;
+        let granted = f64::from(retries + 1) <= allowed * self.usable_share(now, terms);
         if granted {
             self.bucket(now, terms).retries += 1;
         }
         granted
     }
 
+    /// Returns the share of the allowance that may be used. For a window after a restart it is what the host
+    /// cannot have used before.
+    fn usable_share(&self, now: Time, terms: &Terms) -> f64 {
+        match self.restarted {
+            Some(restarted) if now < restarted + terms.window => 1.0 - USED_SHARE,
+            _ => USED_SHARE,
+        }
+    }
+
     fn bucket(&mut self, now: Time, terms: &Terms) -> &mut Bucket {
         let span = (terms.window / BUCKETS).as_micros().max(1);
         let number = u64::try_from(u128::from(now.as_micros()) / span).unwrap_or(u64::MAX);
--- a/toucanhoist-core/src/steering/cold.rs
+++ b/toucanhoist-core/src/steering/cold.rs
@@ -20,9 +20,10 @@
 }
 
 impl ColdLimit {
-    /// Creates the limit of a host that started at `started`, and may have sent requests before.
-    pub fn new(started: Time) -> ColdLimit {
-        ColdLimit { sent: VecDeque::new(), known_from: started + WINDOW }
+    /// Creates the limit of a host, which may have sent requests before it was restarted.
+    pub fn new(restarted: Option<Time>) -> ColdLimit {
+        let known_from = restarted.map_or(Time::ZERO, |restarted| restarted + WINDOW);
+        ColdLimit { sent: VecDeque::new(), known_from }
     }
 
     /// Returns the requests a second that one host may send, where `rank` is its rank among `hosts`
--- a/toucanhoist-core/tests/steering/balancer.rs
+++ b/toucanhoist-core/tests/steering/balancer.rs
@@ -199,7 +199,8 @@
     let mut cold = target("n1", 100);
     cold.cold_left = Duration::from_secs(3);
     let start = |millis: u64, number: usize| {
-        let settings = Settings { started: at(millis), ..settings(&format!("h{number}"), "n1") };
+        let settings =
+            Settings { restarted: Some(at(millis)), ..settings(&format!("h{number}"), "n1") };
         let mut balancer = Balancer::new(settings);
         balancer.set_config(at(millis), &config());
         balancer.set_hosts(at(millis), eight_hosts());
--- a/toucanhoist-core/tests/steering/budget.rs
+++ b/toucanhoist-core/tests/steering/budget.rs
@@ -69,3 +69,35 @@
     }
     assert!(sent.len() >= 12, "{} requests in five seconds", sent.len());
 }
+
+/// Eight hosts that retry whenever they may are killed at the same moment, and serve again a second later.
+#[test]
+fn retries_stay_within_the_budget_of_the_fleet_when_hosts_restart() {
+    const HOSTS: u64 = 8;
+    let mut hosts = vec![RetryBudget::default(); HOSTS as usize];
+    let (mut requests, mut retries) = (Vec::new(), Vec::new());
+    for millis in 0..40_000_u64 {
+        if millis == 12_000 {
+            hosts.fill(RetryBudget::new(Some(at(13_000))));
+        }
+        if (12_000..13_000).contains(&millis) || millis % 50 != 0 {
+            continue;
+        }
+        // Twenty requests a second, each of which is retried as often as the budget allows.
+        let host = &mut hosts[(millis / 50 % HOSTS) as usize];
+        host.request(at(millis), &TERMS);
+        requests.push(millis);
+        while host.take(at(millis), &TERMS, HOSTS as usize) {
+            retries.push(millis);
+        }
+    }
+    let count = |times: &[u64], from: u64| {
+        times.iter().filter(|time| (from..from + 10_000).contains(*time)).count() as f64
+    };
+    for from in (10_000..30_000).step_by(100) {
+        let windows = [from, from - 5_000, from - 10_000];
+        let most = windows.map(|from| count(&requests, from)).into_iter().fold(0.0, f64::max);
+        let (sent, allowed) = (count(&retries, from), TERMS.ratio * most + TERMS.extra);
+        assert!(sent <= allowed, "{sent} retries from {from} ms, {allowed} allowed");
+    }
+}
--- a/toucanhoist-core/tests/steering/support.rs
+++ b/toucanhoist-core/tests/steering/support.rs
@@ -34,7 +34,7 @@
         shift_interval: Duration::from_secs(2),
         cold_factor: 1.5,
         cold_extra: 5.0,
-        started: Time::ZERO,
+        restarted: None,
         seed: host.bytes().map(u64::from).sum(),
     }
 }
--- a/toucanhoist-edge/src/steer.rs
+++ b/toucanhoist-edge/src/steer.rs
@@ -243,7 +243,7 @@
             shift_interval: SHIFT_INTERVAL,
             cold_factor: bounds.cold_factor * COLD_USED_FRACTION,
             cold_extra: bounds.cold_extra * COLD_USED_FRACTION,
-            started: clock.now(),
+            restarted: (!settings.first_start).then(|| clock.now()),
             seed: rand::random(),
         });
         Task {
