Give each holder of a limit a whole request, whatever the rounding

A part of the burst was a product with 1/holders, which rounds below one request for 49 holders; and a wait of under a nanosecond was zero, so that a request could be sent without a token. Change: parts are quotients, and a wait is rounded up. steering turns checks bursts of all hosts together for eight limits and six fleets, the start of a host, and who asks when a target is silent.

--- a/toucanhoist-core/src/steering/limit/turns.rs
+++ b/toucanhoist-core/src/steering/limit/turns.rs
@@ -63,8 +63,7 @@
         let holders = burst.min(place.near.max(1) as f64) as usize;
         (self.rate, self.holders, self.place) = (rate, holders, place);
         if place.position < holders {
-            let part = 1.0 / holders as f64;
-            self.bucket.resize(now, rate * part, burst * part);
+            self.bucket.resize(now, rate / holders as f64, burst / holders as f64);
         } else {
             self.bucket.resize(now, 0.0, 0.0);
         }
@@ -74,8 +73,13 @@
     /// part of the rate and is not next to ask. `heard` is when an answer of the target last named the limit.
     pub fn wait(&mut self, now: Time, heard: Time) -> Option<Duration> {
         if self.place.position < self.holders {
-            let missing = (1.0 - self.bucket.level(now)).max(0.0);
-            return Some(Duration::from_secs_f64(missing / self.bucket.rate_per_s()));
+            let missing = 1.0 - self.bucket.level(now);
+            if missing <= 0.0 {
+                return Some(Duration::ZERO);
+            }
+            // Rounded up, since a wait of zero allows a request.
+            let wait = Duration::from_secs_f64(missing / self.bucket.rate_per_s());
+            return Some(wait.max(Duration::from_micros(1)));
         }
         let probe = self.probe(now, heard)?;
         (self.last_probe != Some(probe)).then_some(Duration::ZERO)
--- a/toucanhoist-core/tests/steering.rs
+++ b/toucanhoist-core/tests/steering.rs
@@ -38,5 +38,7 @@
 mod support;
 #[path = "steering/target_limit.rs"]
 mod target_limit;
+#[path = "steering/turns.rs"]
+mod turns;
 #[path = "steering/typical_load.rs"]
 mod typical_load;
