Wrap comments of the limits at the core's width, and name two things apart

Change: comments only, but for NextTurn, which had the name of limit::Turns, and a condition that is used once.

--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -114,8 +114,8 @@
 
 /// A body that keeps a guard until it ends, fails, is dropped, or its deadline passes.
 ///
-/// At the deadline, body and guard are dropped even if nobody polls the body, as a caller that reads
-/// nothing would otherwise hold them without end.
+/// At the deadline, body and guard are dropped even if nobody polls the body, as a caller that
+/// reads nothing would otherwise hold them without end.
 pub struct Guarded<T> {
     state: Arc<Mutex<State<T>>>,
     watch: AbortHandle,
--- a/toucanhoist-core/src/room/hint.rs
+++ b/toucanhoist-core/src/room/hint.rs
@@ -118,8 +118,8 @@
         }
     }
 
-    /// Records that a forwarded request has ended. One that was forwarded before the last digest has
-    /// left a slot that the digest counts as used, so it makes room for one forwarded since.
+    /// Records that a forwarded request has ended. One that was forwarded before the last digest
+    /// has left a slot that the digest counts as used, so it makes room for one forwarded since.
     pub(super) fn record_forward_end(&mut self, host: &id::EntryHost, service: &id::Service) {
         if let Some(hint) = self.hosts.get_mut(host).and_then(|known| known.loads.get_mut(service))
         {
--- a/toucanhoist-core/src/steering/announced.rs
+++ b/toucanhoist-core/src/steering/announced.rs
@@ -4,7 +4,8 @@
 
 use crate::unit::Rate;
 
-/// What an answer of a target says about the requests that the target takes from all hosts together.
+/// What an answer of a target says about the requests that the target takes from all hosts
+/// together.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Announced {
     /// It names no limit.
--- a/toucanhoist-core/src/steering/balancer.rs
+++ b/toucanhoist-core/src/steering/balancer.rs
@@ -48,8 +48,8 @@
     pub cold_factor: f64,
     /// Requests a second that are allowed in addition.
     pub cold_extra: f64,
-    /// When the host was restarted; what it sent to targets before is not known. `None` at the first start of
-    /// the fleet.
+    /// When the host was restarted; what it sent to targets before is not known. `None` at the
+    /// first start of the fleet.
     pub restarted: Option<Time>,
     /// Seed of the choice of the hosts that are told of limits.
     pub seed: u64,
--- a/toucanhoist-core/src/steering/balancer/choice.rs
+++ b/toucanhoist-core/src/steering/balancer/choice.rs
@@ -36,8 +36,8 @@
     pub has_room: bool,
     /// Whether it is assumed to have handled the object recently.
     pub recent: bool,
-    /// Whether `recent` is known; otherwise it only follows from the target being the object's first
-    /// choice in its region.
+    /// Whether `recent` is known; otherwise it only follows from the target being the object's
+    /// first choice in its region.
     pub certain: bool,
     /// Expected wait for a slot, in seconds.
     pub wait_s: f64,
@@ -74,20 +74,20 @@
     /// Shortest wait for a full target.
     pub least_wait_s: Option<f64>,
     /// Targets whose limit allows no request of this host now.
-    turns: Turns,
+    next_turn: NextTurn,
     /// Whether a target is unavailable for another reason, and may become available.
     may_recover: bool,
 }
 
-/// Turns of this host at targets with a limit.
+/// When this host may next send a request to a target with a limit.
 #[derive(Default)]
-struct Turns {
+struct NextTurn {
     /// Shortest wait for a turn; infinite if other hosts have all turns.
     wait_s: Option<f64>,
     rate_per_s: f64,
 }
 
-impl Turns {
+impl NextTurn {
     fn add(&mut self, wait_s: f64, rate_per_s: f64) {
         self.wait_s = Some(self.wait_s.map_or(wait_s, |least| least.min(wait_s)));
         self.rate_per_s += rate_per_s;
@@ -95,14 +95,15 @@
 }
 
 impl Choice {
-    /// Returns the wait for a turn at a target with a limit, in seconds, for a request with `ahead` others
-    /// before it; `None` if no such target could serve it, or another target may become available first.
+    /// Returns the wait for a turn at a target with a limit, in seconds, for a request with `ahead`
+    /// others before it; `None` if no such target could serve it, or another target may become
+    /// available first.
     pub(super) fn next_turn_s(&self, ahead: usize) -> Option<f64> {
-        let wait_s = self.turns.wait_s?;
+        let wait_s = self.next_turn.wait_s?;
         if wait_s.is_infinite() {
             return (!self.may_recover).then_some(wait_s);
         }
-        Some(wait_s + ahead as f64 / self.turns.rate_per_s)
+        Some(wait_s + ahead as f64 / self.next_turn.rate_per_s)
     }
 }
 
@@ -140,11 +141,11 @@
         match target.turn(now) {
             Turn::Now => {}
             Turn::After { wait, rate_per_s } => {
-                choice.turns.add(wait.as_secs_f64(), rate_per_s);
+                choice.next_turn.add(wait.as_secs_f64(), rate_per_s);
                 continue;
             }
             Turn::Never => {
-                choice.turns.add(f64::INFINITY, 0.0);
+                choice.next_turn.add(f64::INFINITY, 0.0);
                 continue;
             }
         }
--- a/toucanhoist-core/src/steering/balancer/service.rs
+++ b/toucanhoist-core/src/steering/balancer/service.rs
@@ -243,11 +243,10 @@
         }
         let Some(best) = choice.best else {
             if let Some(turn_s) = choice.next_turn_s(ahead) {
-                let is_earlier = choice.least_wait_s.is_none_or(|wait_s| turn_s < wait_s);
                 if turn_s < wait_max_s && ahead < WAITING_MAX {
                     return None;
                 }
-                if is_earlier {
+                if choice.least_wait_s.is_none_or(|wait_s| turn_s < wait_s) {
                     return refuse(Refused::Limited, turn_s);
                 }
             }
--- a/toucanhoist-core/src/steering/balancer/topology.rs
+++ b/toucanhoist-core/src/steering/balancer/topology.rs
@@ -134,8 +134,8 @@
         self.hosts.keys().filter(|host| **host != self.host)
     }
 
-    /// Returns the host's place in the order of all hosts for a target's limit: hosts of its region first,
-    /// each group by rendezvous score.
+    /// Returns the host's place in the order of all hosts for a target's limit: hosts of its region
+    /// first, each group by rendezvous score.
     pub(super) fn limit_place(&self, target: &id::Target, region: Region) -> limit::Place {
         let order = |host: &id::EntryHost, data_centre: &id::DataCentre| {
             let is_near = self.region_of(data_centre) == region;
--- a/toucanhoist-core/src/steering/budget.rs
+++ b/toucanhoist-core/src/steering/budget.rs
@@ -64,8 +64,8 @@
         granted
     }
 
-    /// Returns the share of the allowance that may be used. For a window after a restart it is what the host
-    /// cannot have used before.
+    /// Returns the share of the allowance that may be used. For a window after a restart it is what
+    /// the host cannot have used before.
     fn usable_share(&self, now: Time, terms: &Terms) -> f64 {
         match self.restarted {
             Some(restarted) if now < restarted + terms.window => 1.0 - USED_SHARE,
--- a/toucanhoist-core/src/steering/limit/knowledge.rs
+++ b/toucanhoist-core/src/steering/limit/knowledge.rs
@@ -1,8 +1,9 @@
 //! What one host knows of the limits of all targets, and what it tells other hosts.
 //!
-//! News spread as rumours: a host that learns of a statement tells it to a few others, who do the same. In
-//! addition each host tells all limits to another host at intervals, which reaches those that missed the news or
-//! were restarted. The messages of a host do not grow with the number of hosts.
+//! News spread as rumours: a host that learns of a statement tells it to a few others, who do the
+//! same. In addition each host tells all limits to another host at intervals, which reaches those
+//! that missed the news or were restarted. The messages of a host do not grow with the number of
+//! hosts.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -28,8 +29,8 @@
 const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
 /// Reports in one message.
 const REPORTS_MAX: usize = 32;
-/// Time for which a statement is kept after its limit has ended or its target is gone; longer than a message
-/// is in transit and than a target is missing after an outage of the store.
+/// Time for which a statement is kept after its limit has ended or its target is gone; longer than
+/// a message is in transit and than a target is missing after an outage of the store.
 const RETENTION: Duration = Duration::from_secs(60);
 /// Targets about which statements are kept; more than a host has.
 const STATEMENTS_MAX: usize = 8_192;
@@ -99,8 +100,8 @@
         }
     }
 
-    /// Returns the statement of the incarnation of a target that was born at `born`, and when it was last
-    /// heard.
+    /// Returns the statement of the incarnation of a target that was born at `born`, and when it
+    /// was last heard.
     pub fn get(&self, target: &id::Target, born: u64) -> Option<(Statement, Time)> {
         let known = self.statements.get(target)?;
         (known.statement.born >= born).then_some((known.statement, known.heard))
@@ -116,8 +117,9 @@
         self.statements.values().filter(|known| known.statement.limit.is_some()).count()
     }
 
-    /// Records an answer to the request of a ticket; returns whether this adds to the knowledge. `ran` says
-    /// whether the target ran the request: an answer without a limit to one that it did not run says nothing.
+    /// Records an answer to the request of a ticket; returns whether this adds to the knowledge.
+    /// `ran` says whether the target ran the request: an answer without a limit to one that it did
+    /// not run says nothing.
     pub fn hear(&mut self, now: Time, ticket: &Ticket, announced: Announced, ran: bool) -> bool {
         let Ticket { target, born, .. } = ticket;
         let born = *born;
@@ -145,7 +147,8 @@
         self.learn(now, target, statement, now, Source::Answer)
     }
 
-    /// Merges the reports of another host; returns the targets about which they add to the knowledge.
+    /// Merges the reports of another host; returns the targets about which they add to the
+    /// knowledge.
     pub fn merge(&mut self, now: Time, reports: Vec<Report>) -> Vec<id::Target> {
         let mut added = Vec::new();
         for Report { target, statement, age } in reports {
@@ -206,8 +209,8 @@
         self.has_news
     }
 
-    /// Returns the reports that are due, by the host that they are for; `others` are the other hosts, and
-    /// `is_target` says which targets still exist.
+    /// Returns the reports that are due, by the host that they are for; `others` are the other
+    /// hosts, and `is_target` says which targets still exist.
     pub fn due_reports(
         &mut self,
         now: Time,
--- a/toucanhoist-core/src/steering/limit/statement.rs
+++ b/toucanhoist-core/src/steering/limit/statement.rs
@@ -16,8 +16,8 @@
 }
 
 impl Statement {
-    /// Whether this statement replaces another one of the same target. Of two with the same version,
-    /// which different hosts heard at the same time, the stricter one counts.
+    /// Whether this statement replaces another one of the same target. Of two with the same
+    /// version, which different hosts heard at the same time, the stricter one counts.
     pub fn supersedes(&self, other: &Statement) -> bool {
         match (self.born, self.version).cmp(&(other.born, other.version)) {
             std::cmp::Ordering::Less => false,
--- a/toucanhoist-core/src/steering/limit/turns.rs
+++ b/toucanhoist-core/src/steering/limit/turns.rs
@@ -4,8 +4,8 @@
 
 use crate::{clock::Time, quota::Bucket, unit::Rate};
 
-/// Requests a second from all hosts at least. A target is asked now and then whether its limit, however low,
-/// still holds.
+/// Requests a second from all hosts at least. A target is asked now and then whether its limit,
+/// however low, still holds.
 const RATE_MIN: f64 = 0.1;
 /// Requests that all hosts together may send at once, beyond the rate.
 const BURST_BASE: f64 = 1.0;
@@ -27,10 +27,11 @@
 
 /// The requests that one host may send to a target with a limit.
 ///
-/// The first hosts in the order of the target hold equal parts of the rate. Each of them may send its part of
-/// the burst at once, at least one request, so that a low rate is divided among few hosts. If the target has
-/// not answered for a while, each of the other hosts in turn may send it one request: the hosts that hold the
-/// rate may be gone, or have no requests for it, and nobody would notice that the limit has ended.
+/// The first hosts in the order of the target hold equal parts of the rate. Each of them may send
+/// its part of the burst at once, at least one request, so that a low rate is divided among few
+/// hosts. If the target has not answered for a while, each of the other hosts in turn may send it
+/// one request: the hosts that hold the rate may be gone, or have no requests for it, and nobody
+/// would notice that the limit has ended.
 #[derive(Clone, Debug)]
 pub struct Turns {
     rate: f64,
@@ -42,8 +43,8 @@
 }
 
 impl Turns {
-    /// Creates the turns of a host that has sent nothing yet. No request may be sent at once, since the host
-    /// may just have been restarted.
+    /// Creates the turns of a host that has sent nothing yet. No request may be sent at once, since
+    /// the host may just have been restarted.
     pub fn new(now: Time, limit: Rate, place: Place) -> Turns {
         let bucket = Bucket::new(now, 0.0, 0.0);
         let mut turns = Turns { rate: 0.0, bucket, holders: 0, place, last_probe: None };
@@ -69,8 +70,9 @@
         }
     }
 
-    /// Returns the time until the host may send a request, zero if it may do so now; `None` if it holds no
-    /// part of the rate and is not next to ask. `heard` is when an answer of the target last named the limit.
+    /// Returns the time until the host may send a request, zero if it may do so now; `None` if it
+    /// holds no part of the rate and is not next to ask. `heard` is when an answer of the target
+    /// last named the limit.
     pub fn wait(&mut self, now: Time, heard: Time) -> Option<Duration> {
         if self.place.position < self.holders {
             let missing = 1.0 - self.bucket.level(now);
@@ -97,8 +99,8 @@
         self.bucket.rate_per_s()
     }
 
-    /// Returns the interval of the silence in which this host, which holds no part of the rate, may send one
-    /// request; `None` if another host may.
+    /// Returns the interval of the silence in which this host, which holds no part of the rate, may
+    /// send one request; `None` if another host may.
     fn probe(&self, now: Time, heard: Time) -> Option<(Time, u64)> {
         let interval = SILENCE_MIN.max(Duration::from_secs_f64(1.0 / self.rate));
         let number = (now.since(heard).as_secs_f64() / interval.as_secs_f64()) as u64;
--- a/toucanhoist-core/tests/steering/announced.rs
+++ b/toucanhoist-core/tests/steering/announced.rs
@@ -32,8 +32,8 @@
     assert_eq!(Announced::parse(value), expected);
 }
 
-/// Sends one request to the only target, which answers with `outcome`; returns the limit that the host
-/// knew when it sent the request.
+/// Sends one request to the only target, which answers with `outcome`; returns the limit that the
+/// host knew when it sent the request.
 fn send(balancer: &mut Balancer, millis: u64, outcome: Outcome) -> Option<Rate> {
     let ticket = place(balancer, at(millis), request(millis, at(millis))).expect("a ticket");
     balancer.end(at(millis + 10), &ticket, outcome);
--- a/toucanhoist-core/tests/steering/budget.rs
+++ b/toucanhoist-core/tests/steering/budget.rs
@@ -70,7 +70,8 @@
     assert!(sent.len() >= 12, "{} requests in five seconds", sent.len());
 }
 
-/// Eight hosts that retry whenever they may are killed at the same moment, and serve again a second later.
+/// Eight hosts that retry whenever they may are killed at the same moment, and serve again a second
+/// later.
 #[test]
 fn retries_stay_within_the_budget_of_the_fleet_when_hosts_restart() {
     const HOSTS: u64 = 8;
--- a/toucanhoist-core/tests/steering/target_limit.rs
+++ b/toucanhoist-core/tests/steering/target_limit.rs
@@ -236,8 +236,8 @@
         self.run_until(NAMED_MS + GRACE_MS);
     }
 
-    /// Returns the most requests that the limited target got in a window within a time, from all hosts but those
-    /// that were restarted shortly before.
+    /// Returns the most requests that the limited target got in a window within a time, from all
+    /// hosts but those that were restarted shortly before.
     fn most(&self, time: Range<u64>) -> usize {
         let is_counted = |&&(sent, host): &&(u64, usize)| {
             let is_calm =
@@ -429,7 +429,8 @@
     assert!(after > 0.6 * before, "{after:.1}/s, {before:.1}/s before the limit");
 }
 
-/// The hosts that hold the rate have no callers, so only others can notice that the limit has ended.
+/// The hosts that hold the rate have no callers, so only others can notice that the limit has
+/// ended.
 #[test]
 fn the_end_of_a_limit_is_noticed_without_the_hosts_that_hold_the_rate() {
     let mut fleet = Fleet::new(9, 1);
--- a/toucanhoist-core/tests/steering/turns.rs
+++ b/toucanhoist-core/tests/steering/turns.rs
@@ -55,7 +55,8 @@
     assert_eq!(burst(&mut turns, at(501), at(0)), 1);
 }
 
-/// Three hosts hold the rate of 1/s; the two others take turns of 3 s once no answer has come for 3 s.
+/// Three hosts hold the rate of 1/s; the two others take turns of 3 s once no answer has come for 3
+/// s.
 #[test]
 fn hosts_without_a_part_ask_one_after_the_other_when_the_target_is_silent() {
     let mut asked = Vec::new();
