Have a target of the soak name a limit

Cause: no test over real processes had a target that names a limit, so neither the header's name on the users' platform nor the datagrams between hosts were covered. Change: after the recovery a target names 2/s for eleven seconds; from three seconds on it must get no more than 1.5 times that in any 4 s, and 5 requests more, and not nothing.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -57,6 +57,8 @@
 const RECOVERY_MAX: Duration = Duration::from_secs(15);
 /// Fraction of the answers after the recovery that must be neither failures nor refusals for lack of capacity.
 const SERVED_FRACTION: f64 = 0.9;
+/// Limit that a target names at the end of a run; callers send it twenty times as much without.
+const LIMIT_PER_SECOND: f64 = 2.0;
 /// Time-out for the first successful answer.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -139,6 +141,7 @@
     let before = cluster.ledger.answers();
     time::sleep(RECOVERY_SAMPLE).await;
     let after = cluster.ledger.answers();
+    limit_a_target(&cluster).await;
     ended.store(true, Ordering::Relaxed);
     while callers.join_next().await.is_some() {}
     let count = |status: u16| after.get(&status).unwrap_or(&0) - before.get(&status).unwrap_or(&0);
@@ -160,6 +163,13 @@
     violations
 }
 
+/// Has a target name a limit for a while, far below what it got before.
+async fn limit_a_target(cluster: &Cluster) {
+    cluster.targets.lock().await[0].set_limit(LIMIT_PER_SECOND);
+    time::sleep(target::LIMIT_GRACE + target::LIMIT_WINDOW * 2).await;
+    cluster.targets.lock().await[0].end_limit();
+}
+
 /// Writes a configuration, kills all hosts at once, and starts them again.
 async fn crash_all_hosts(cluster: &Cluster, version: u64) {
     cluster.store.put("op", "config", Some(config(version)));
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -3,7 +3,7 @@
 use std::{
     io,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
@@ -31,6 +31,35 @@
 /// Time after which a draining target must get no requests.
 const DRAIN_TIME: Duration = Duration::from_millis(2_500);
 
+/// Time after which all hosts must keep a limit that a target names.
+pub const LIMIT_GRACE: Duration = Duration::from_secs(3);
+/// Window over which a limit is checked.
+pub const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Tolerated multiple of what a limit allows in a window, and tolerated number of further requests.
+const LIMIT_MULTIPLE: f64 = 1.5;
+const LIMIT_EXTRA: f64 = 5.0;
+
+/// A limit that a target names.
+#[derive(Debug)]
+struct Limit {
+    per_second: f64,
+    since: Instant,
+    /// Requests that arrived since.
+    arrivals: Vec<Instant>,
+}
+
+impl Limit {
+    /// Returns the most requests that arrived in a window after the time of grace.
+    fn most_in_window(&self) -> usize {
+        let after = self.arrivals.partition_point(|at| *at < self.since + LIMIT_GRACE);
+        let arrivals = &self.arrivals[after..];
+        let in_window = |(first, from): (usize, &Instant)| {
+            arrivals[first..].partition_point(|at| *at < *from + LIMIT_WINDOW)
+        };
+        arrivals.iter().enumerate().map(in_window).max().unwrap_or(0)
+    }
+}
+
 /// How a target misbehaves.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Fault {
@@ -68,6 +97,7 @@
     /// When the store acknowledged that the target drains.
     draining_since: Mutex<Option<Instant>>,
     is_stopped: AtomicBool,
+    limit: Mutex<Option<Limit>>,
 }
 
 impl Target {
@@ -90,6 +120,7 @@
             fault: Mutex::default(),
             draining_since: Mutex::default(),
             is_stopped: AtomicBool::new(false),
+            limit: Mutex::default(),
         });
         let task = tokio::spawn(serve(listener, Arc::clone(&shared)));
         let target = Target { id, proxy, service, zone, store: Arc::clone(store), shared, task };
@@ -111,6 +142,25 @@
         *self.shared.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
+    /// Names a limit in all answers from now on, in requests a second from all hosts together.
+    pub fn set_limit(&self, per_second: f64) {
+        *self.shared.limit() =
+            Some(Limit { per_second, since: Instant::now(), arrivals: Vec::new() });
+    }
+
+    /// Stops naming the limit; records a violation if too many requests arrived meanwhile, or none did.
+    pub fn end_limit(&self) {
+        let Some(limit) = self.shared.limit().take() else { return };
+        let most = limit.most_in_window();
+        let allowed = LIMIT_MULTIPLE * limit.per_second * LIMIT_WINDOW.as_secs_f64() + LIMIT_EXTRA;
+        if most == 0 || most as f64 > allowed {
+            self.shared.ledger.record_violation(format!(
+                "{}: {most} requests in a window that allows {allowed}, at a limit of {}/s",
+                self.id, limit.per_second
+            ));
+        }
+    }
+
     /// Drains the target, keeps it running for a while, and stops it.
     pub async fn drain(self) {
         self.register("draining");
@@ -173,6 +223,9 @@
         if text(&head.headers, "x-expect-instance").is_none_or(|expected| expected != self.id) {
             return Ok(self.refusal(421, &id));
         }
+        if let Some(limit) = &mut *self.limit() {
+            limit.arrivals.push(Instant::now());
+        }
         // The request runs only after its body has arrived.
         body.collect().await.map_err(io::Error::other)?;
         if self.running.load(Ordering::Relaxed) >= SLOTS * 2 {
@@ -193,6 +246,10 @@
         }
     }
 
+    fn limit(&self) -> MutexGuard<'_, Option<Limit>> {
+        self.limit.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records a violation if a request arrives after the drain time.
     fn check_draining(&self, id: &str) {
         let since = *self.draining_since.lock().unwrap_or_else(PoisonError::into_inner);
@@ -210,12 +267,14 @@
 
     fn response(&self, status: u16, id: &str, body: &str) -> Response<Full<Bytes>> {
         let running = self.running.load(Ordering::Relaxed);
-        Response::builder()
+        let mut response = Response::builder()
             .status(status)
             .header("x-request-id", id)
             .header("x-server-seal", &self.id)
-            .header("x-server-load", format!("{},0,{SLOTS}", running.min(SLOTS)))
-            .body(Full::new(Bytes::from(body.to_owned())))
-            .expect("a response")
+            .header("x-server-load", format!("{},0,{SLOTS}", running.min(SLOTS)));
+        if let Some(limit) = &*self.limit() {
+            response = response.header("server-limit", limit.per_second.to_string());
+        }
+        response.body(Full::new(Bytes::from(body.to_owned()))).expect("a response")
     }
 }
