Log why an attempt at a target failed, and count connections by outcome

The counter `toucanhoist_target_connects_total` shows per host whether connections to targets are made, refused or not answered, so that a host that is cut off stands out beside the others.

The deadline is kept inside the pool for this, once for the connection and once for the exchange. What callers get is unchanged.

--- a/src/cli/timeline.rs
+++ b/src/cli/timeline.rs
@@ -133,6 +133,9 @@
             field("reason"),
             field("retry_after_ms")
         ),
+        "attempt-failed" => {
+            format!("{} failed after {} us: {}", field("target"), field("micros"), field("error"))
+        }
         "retried" => format!("retried after {} sends", field("sends")),
         "abandoned" => format!("abandoned by its caller after {} us", field("micros")),
         "target-changed" => format!("target {} is {}", field("target"), field("state")),
--- a/toucanhoist-core/src/event.rs
+++ b/toucanhoist-core/src/event.rs
@@ -94,6 +94,8 @@
     Broken 2007 Warn "broken"
     /// A request was sent to a target.
     Sent 2008 Info "sent"
+    /// A target gave no complete answer to an attempt.
+    AttemptFailed 2009 Info "attempt-failed"
     /// A target's entry changed.
     TargetChanged 2106 Info "target-changed"
     /// The data centres under evacuation changed.
--- a/toucanhoist-edge/src/gateway/attempt.rs
+++ b/toucanhoist-edge/src/gateway/attempt.rs
@@ -33,7 +33,7 @@
 use crate::{
     headers::strip_hop_by_hop,
     steer::{Decision, Input, Lease},
-    target,
+    target::{self, Cause},
 };
 
 /// Number of unreachable targets after which a request is refused.
@@ -154,25 +154,28 @@
     attempts.targets.push(ticket.target.clone());
     let sent = Instant::now();
     log_send(shared, request, &ticket, attempts);
-    let at_most_once = !request.route.repeatable;
-    let exchange =
-        shared.targets.run(ticket.address, &ticket.target, at_most_once, &request.id, || {
-            build(shared, request, &ticket.target)
-        });
-    let outcome = match time::timeout_at(request.deadline, exchange).await {
-        Ok(outcome) => outcome,
-        Err(_) => {
+    let exchange = target::Exchange {
+        address: ticket.address,
+        target: &ticket.target,
+        at_most_once: !request.route.repeatable,
+        request_id: &request.id,
+        deadline: request.deadline,
+    };
+    let outcome = shared.targets.run(exchange, || build(shared, request, &ticket.target)).await;
+    if let Err(failure) = &outcome {
+        log_failure(shared, request, &ticket, *failure, sent);
+    }
+    match outcome.map_err(|failure| failure.error) {
+        Ok(answer) => handle_answer(shared, request, lease, answer, sent, attempts),
+        Err(target::Error::Overdue | target::Error::Unreachable(Cause::DeadlinePassed)) => {
             lease.end(Outcome::Unanswered);
             attempts.may_have_run = true;
-            return Next::Refuse(Refusal::may_have_run(
+            Next::Refuse(Refusal::may_have_run(
                 Code::DeadlineExceeded,
                 format!("target {} did not answer in time", ticket.target),
-            ));
+            ))
         }
-    };
-    match outcome {
-        Ok(answer) => handle_answer(shared, request, lease, answer, sent, attempts),
-        Err(target::Error::Unreachable) => {
+        Err(target::Error::Unreachable(_)) => {
             lease.end(Outcome::Unreachable);
             attempts.unreachable += 1;
             if attempts.unreachable < UNREACHABLE_MAX && Instant::now() < request.deadline {
@@ -185,7 +188,7 @@
             lease.end(Outcome::Broken);
             attempts.sends += 1;
             attempts.may_have_run = true;
-            if error == target::Error::Broken {
+            if matches!(error, target::Error::Broken(_)) {
                 check_crash(shared, request, &ticket);
             }
             if may_repeat(request, attempts) {
@@ -351,6 +354,26 @@
     );
 }
 
+/// Logs an attempt without a complete answer.
+fn log_failure(
+    shared: &Shared,
+    request: &Admitted,
+    ticket: &Ticket,
+    failure: target::Failure,
+    sent: Instant,
+) {
+    shared.journal.record(
+        Event::AttemptFailed,
+        &request.id,
+        &[
+            ("target", &ticket.target),
+            ("error", &failure.error),
+            ("connection", &if failure.is_kept { "kept" } else { "new" }),
+            ("micros", &sent.elapsed().as_micros()),
+        ],
+    );
+}
+
 fn log_answer(
     shared: &Shared,
     request: &Admitted,
--- a/toucanhoist-edge/src/target.rs
+++ b/toucanhoist-edge/src/target.rs
@@ -9,6 +9,9 @@
 
 use std::{
     collections::HashMap,
+    error::Error as _,
+    fmt,
+    io::{self, ErrorKind},
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -20,7 +23,7 @@
     http_body_util::{BodyExt, Full},
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
-    tokio::time::Instant,
+    tokio::time::{self, Instant},
     toucanhoist_core::{
         id,
         steering::{Announced, Report},
@@ -98,14 +101,103 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Error {
     /// No connection could be made; nothing was sent.
-    #[error("no connection to the target")]
-    Unreachable,
+    #[error("no connection to the target: {0}")]
+    Unreachable(Cause),
     /// The connection ended early or carried something other than an answer; the request may have run.
-    #[error("no complete answer arrived on the connection")]
-    Broken,
+    #[error("no complete answer arrived on the connection: {0}")]
+    Broken(Cause),
     /// The answer belongs to another request; the request may have run.
     #[error("the answer belongs to another request")]
     Stray,
+    /// The deadline passed before the answer was complete; the request may have run.
+    #[error("no answer before the deadline")]
+    Overdue,
+}
+
+/// A request that is sent to a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Exchange<'a> {
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// The target that is expected there.
+    pub target: &'a id::Target,
+    /// Whether the request must not run twice.
+    pub at_most_once: bool,
+    /// Identifier of the request, which its answer must carry.
+    pub request_id: &'a str,
+    /// When its caller stops waiting.
+    pub deadline: Instant,
+}
+
+/// A failed exchange with a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Failure {
+    /// What went wrong.
+    pub error: Error,
+    /// Whether the connection was kept from an earlier request.
+    pub is_kept: bool,
+}
+
+/// Why a connection could not be made, or ended early.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cause {
+    /// The target's machine refused the connection.
+    Refused,
+    /// The connection was reset.
+    Reset,
+    /// Nothing came from the target's machine in time.
+    TimedOut,
+    /// The target closed the connection in the middle of an exchange.
+    Closed,
+    /// The request's deadline passed first.
+    DeadlinePassed,
+    /// Anything else, such as bytes that are no answer.
+    Other,
+}
+
+impl Cause {
+    /// Returns the cause's name.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Cause::Refused => "refused",
+            Cause::Reset => "reset",
+            Cause::TimedOut => "timed-out",
+            Cause::Closed => "closed",
+            Cause::DeadlinePassed => "deadline-passed",
+            Cause::Other => "other",
+        }
+    }
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl From<&io::Error> for Cause {
+    fn from(error: &io::Error) -> Cause {
+        match error.kind() {
+            ErrorKind::ConnectionRefused => Cause::Refused,
+            ErrorKind::ConnectionReset | ErrorKind::BrokenPipe => Cause::Reset,
+            ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => {
+                Cause::TimedOut
+            }
+            ErrorKind::UnexpectedEof => Cause::Closed,
+            _ => Cause::Other,
+        }
+    }
+}
+
+impl From<hyper::Error> for Cause {
+    fn from(error: hyper::Error) -> Cause {
+        let source = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+        match source {
+            Some(source) => source.into(),
+            None if error.is_incomplete_message() || error.is_closed() => Cause::Closed,
+            None => Cause::Other,
+        }
+    }
 }
 
 impl Pool {
@@ -114,36 +206,53 @@
         Pool { shared: Arc::new(Shared { dialect, state: Mutex::default() }) }
     }
 
-    /// Runs a request on a target. `at_most_once` is set for requests that must not run twice. `build` is
-    /// called for each connection that is tried, as an idle one may close before any of the request is sent.
+    /// Runs a request on a target. `build` is called for each connection that is tried, as a kept one may
+    /// close before any of the request is sent.
     ///
     /// # Errors
     ///
     /// [`Error::Unreachable`] if nothing was sent; after any other error the request may have run.
     pub async fn run(
         &self,
-        address: SocketAddr,
-        target: &id::Target,
-        at_most_once: bool,
-        request_id: &str,
+        exchange: Exchange<'_>,
         build: impl Fn() -> Request<Full<Bytes>>,
-    ) -> Result<Answer, Error> {
-        let endpoint = (address, target.clone());
-        let mut connection = self.connection(&endpoint, at_most_once).await?;
-        let answer = loop {
-            match connection.try_send_request(build()).await {
-                Ok(answer) => break answer,
+    ) -> Result<Answer, Failure> {
+        let endpoint = (exchange.address, exchange.target.clone());
+        loop {
+            let connecting = self.connection(&endpoint, exchange.at_most_once);
+            let overdue =
+                Failure { error: Error::Unreachable(Cause::DeadlinePassed), is_kept: false };
+            let (connection, is_kept) =
+                time::timeout_at(exchange.deadline, connecting).await.unwrap_or(Err(overdue))?;
+            let sending = self.send(&exchange, &endpoint, connection, build());
+            let error = match time::timeout_at(exchange.deadline, sending).await {
+                Ok(Ok(Some(answer))) => return Ok(answer),
                 // The connection closed before any of the request was sent.
-                Err(error) if error.message().is_some() => {
-                    connection = self.connection(&endpoint, at_most_once).await?;
-                }
-                Err(_) => return Err(Error::Broken),
-            }
+                Ok(Ok(None)) => continue,
+                Ok(Err(error)) => error,
+                Err(_) => Error::Overdue,
+            };
+            return Err(Failure { error, is_kept });
+        }
+    }
+
+    /// Sends a request on a connection; `None` if the connection closed before any of it was sent.
+    async fn send(
+        &self,
+        exchange: &Exchange<'_>,
+        endpoint: &Endpoint,
+        mut connection: Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Option<Answer>, Error> {
+        let answer = match connection.try_send_request(request).await {
+            Ok(answer) => answer,
+            Err(error) if error.message().is_some() => return Ok(None),
+            Err(error) => return Err(Error::Broken(error.into_error().into())),
         };
         let (head, body) = answer.into_parts();
         let dialect = &self.shared.dialect;
-        if head.headers.get(&dialect.request_id).is_some_and(|id| id != request_id) {
-            self.record_stray(&endpoint);
+        if head.headers.get(&dialect.request_id).is_some_and(|id| id != exchange.request_id) {
+            self.record_stray(endpoint);
             return Err(Error::Stray);
         }
         let report = head.headers.get(&dialect.load).and_then(|v| parse_load(v.to_str().ok()?));
@@ -153,10 +262,10 @@
         let (first, rest) = read(body).await?;
         if rest.is_none() {
             if let Some(until) = until {
-                self.put_back(endpoint, connection, until);
+                self.put_back(endpoint.clone(), connection, until);
             }
         }
-        Ok(Answer { head, first, rest, report, announced, not_run })
+        Ok(Some(Answer { head, first, rest, report, announced, not_run }))
     }
 
     /// Whether an address accepts connections.
@@ -164,18 +273,22 @@
         socket::connect(address, CONNECT_MAX).await.is_ok()
     }
 
+    /// Returns a connection, and whether it was kept from an earlier request.
     async fn connection(
         &self,
         endpoint: &Endpoint,
         at_most_once: bool,
-    ) -> Result<Connection, Error> {
+    ) -> Result<(Connection, bool), Failure> {
         if let Some(idle) = self.take_idle(endpoint, at_most_once) {
-            return Ok(idle);
+            return Ok((idle, true));
         }
-        let stream =
-            socket::connect(endpoint.0, CONNECT_MAX).await.map_err(|_| Error::Unreachable)?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|_| Error::Unreachable)?;
+        let stream = socket::connect(endpoint.0, CONNECT_MAX).await;
+        count_connect(stream.as_ref().err());
+        let unreachable = |cause| Failure { error: Error::Unreachable(cause), is_kept: false };
+        let stream = stream.map_err(|error| unreachable(Cause::from(&error)))?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| unreachable(Cause::from(error)))?;
         let (pool, endpoint) = (self.clone(), endpoint.clone());
         tokio::spawn(async move {
             // Bytes that belong to no request end the connection with one of these errors.
@@ -183,7 +296,7 @@
                 pool.record_stray(&endpoint);
             }
         });
-        Ok(sender)
+        Ok((sender, false))
     }
 
     fn take_idle(&self, endpoint: &Endpoint, at_most_once: bool) -> Option<Connection> {
@@ -235,7 +348,8 @@
 async fn read(mut body: Incoming) -> Result<(Bytes, Option<Incoming>), Error> {
     let mut first = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let Ok(chunk) = frame.map_err(|_| Error::Broken)?.into_data() else { continue };
+        let frame = frame.map_err(|error| Error::Broken(error.into()))?;
+        let Ok(chunk) = frame.into_data() else { continue };
         first.extend_from_slice(&chunk);
         if first.len() >= BUFFER_BYTES {
             return Ok((first.freeze(), Some(body)));
@@ -244,6 +358,12 @@
     Ok((first.freeze(), None))
 }
 
+/// Counts an attempt to connect to a target.
+fn count_connect(error: Option<&io::Error>) {
+    let outcome = error.map_or("connected", |error| Cause::from(error).as_str());
+    metrics::counter!("toucanhoist_target_connects_total", "outcome" => outcome).increment(1);
+}
+
 /// Returns the time until which the connection of an answer may be reused; `None` if it may not be.
 fn reusable_until(headers: &HeaderMap) -> Option<Instant> {
     let closes =
