Let settings name the address from which hosts connect to targets

A machine with several networks may reach targets through one of them only; `connect_from` in the settings of `edge` names its address there. Without it the system chooses, as before.

--- a/toucanhoist-edge/src/host.rs
+++ b/toucanhoist-edge/src/host.rs
@@ -107,7 +107,7 @@
         follow(&store, &settings, &fleet, started);
         let dialect = Arc::new(dialect);
         let shared = Arc::new(Shared {
-            targets: target::Pool::new(Arc::clone(&dialect)),
+            targets: target::Pool::new(Arc::clone(&dialect), settings.connect_from),
             settings,
             dialect,
             fleet,
--- a/toucanhoist-edge/src/settings.rs
+++ b/toucanhoist-edge/src/settings.rs
@@ -4,7 +4,13 @@
 They are read from JSON. Unknown fields are ignored, so that a platform may add its own.
 */
 
-use std::{collections::BTreeMap, fs, io, net::SocketAddr, path::Path, time::Duration};
+use std::{
+    collections::BTreeMap,
+    fs, io,
+    net::{IpAddr, SocketAddr},
+    path::Path,
+    time::Duration,
+};
 
 use {
     serde::{Deserialize, Serialize},
@@ -23,6 +29,10 @@
     pub regions: BTreeMap<id::DataCentre, id::Region>,
     /// Addresses that it listens on.
     pub listen: Listen,
+    /// Address from which it connects to targets; by default the system chooses one. A machine with several
+    /// networks may reach targets through one of them only.
+    #[serde(default)]
+    pub connect_from: Option<IpAddr>,
     /// Peer addresses of some entry hosts, to join the cluster through; they may be stale.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
--- a/toucanhoist-edge/src/target.rs
+++ b/toucanhoist-edge/src/target.rs
@@ -12,7 +12,7 @@
     error::Error as _,
     fmt,
     io::{self, ErrorKind},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -23,7 +23,10 @@
     http_body_util::{BodyExt, Full},
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
-    tokio::time::{self, Instant},
+    tokio::{
+        net::TcpStream,
+        time::{self, Instant},
+    },
     toucanhoist_core::{
         id,
         steering::{Announced, Report},
@@ -64,6 +67,8 @@
 #[derive(Debug)]
 struct Shared {
     dialect: Arc<Dialect>,
+    /// Local address of the connections; `None` leaves the choice to the system.
+    local: Option<IpAddr>,
     state: Mutex<State>,
 }
 
@@ -201,9 +206,9 @@
 }
 
 impl Pool {
-    /// Creates an empty pool.
-    pub fn new(dialect: Arc<Dialect>) -> Pool {
-        Pool { shared: Arc::new(Shared { dialect, state: Mutex::default() }) }
+    /// Creates an empty pool, whose connections are made from `local` if it is given.
+    pub fn new(dialect: Arc<Dialect>, local: Option<IpAddr>) -> Pool {
+        Pool { shared: Arc::new(Shared { dialect, local, state: Mutex::default() }) }
     }
 
     /// Runs a request on a target. `build` is called for each connection that is tried, as a kept one may
@@ -270,7 +275,11 @@
 
     /// Whether an address accepts connections.
     pub async fn is_listening(&self, address: SocketAddr) -> bool {
-        socket::connect(address, CONNECT_MAX).await.is_ok()
+        self.connect(address).await.is_ok()
+    }
+
+    async fn connect(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        socket::connect_from(self.shared.local, address, CONNECT_MAX).await
     }
 
     /// Returns a connection, and whether it was kept from an earlier request.
@@ -282,7 +291,7 @@
         if let Some(idle) = self.take_idle(endpoint, at_most_once) {
             return Ok((idle, true));
         }
-        let stream = socket::connect(endpoint.0, CONNECT_MAX).await;
+        let stream = self.connect(endpoint.0).await;
         count_connect(stream.as_ref().err());
         let unreachable = |cause| Failure { error: Error::Unreachable(cause), is_kept: false };
         let stream = stream.map_err(|error| unreachable(Cause::from(&error)))?;
--- a/toucanhoist-edge/tests/support/mod.rs
+++ b/toucanhoist-edge/tests/support/mod.rs
@@ -32,6 +32,7 @@
         settings::{Bounds, Listen, Machine, Settings},
         store::{Batch, Error, Store},
     },
+    toucanhoist_fakes::link::Links,
 };
 
 pub const KEY: &str = "k-farm";
@@ -217,6 +218,8 @@
     behaviour: Arc<Mutex<Behaviour>>,
     /// Requests that it has received, as text.
     pub requests: Arc<Mutex<Vec<String>>>,
+    /// Links between hosts and the target.
+    pub links: Links,
 }
 
 impl FakeTarget {
@@ -225,13 +228,20 @@
         let address = listener.local_addr().expect("an address");
         let behaviour = Arc::new(Mutex::new(behaviour));
         let requests = Arc::new(Mutex::new(Vec::new()));
+        let links = Links::new(&listener).expect("links");
         let (current, received) = (Arc::clone(&behaviour), Arc::clone(&requests));
+        let accepted = links.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, Arc::clone(&current), Arc::clone(&received)));
+                let link = accepted.add(&stream).expect("a link");
+                let serving = serve(stream, Arc::clone(&current), Arc::clone(&received));
+                tokio::spawn(async move {
+                    serving.await;
+                    drop(link);
+                });
             }
         });
-        FakeTarget { address, behaviour, requests }
+        FakeTarget { address, behaviour, requests, links }
     }
 
     pub fn set_behaviour(&self, behaviour: Behaviour) {
@@ -394,6 +404,7 @@
         regions: BTreeMap::from([(name("n1"), name("north"))]),
         listen: Listen { callers: any, readiness: any, directory: any, peers: any, metrics: any },
         seeds,
+        connect_from: None,
         first_start: true,
         store: any,
         machine: Machine::default(),
@@ -411,8 +422,12 @@
 }
 
 pub async fn host(text: &str, store: &Arc<Memory>, seeds: Vec<SocketAddr>) -> Edge {
+    spawn(settings(text, seeds), store).await
+}
+
+pub async fn spawn(settings: Settings, store: &Arc<Memory>) -> Edge {
     let store: Arc<dyn Store> = Arc::clone(store) as _;
-    Edge::spawn(settings(text, seeds), Dialect::default(), store).await.expect("a host")
+    Edge::spawn(settings, Dialect::default(), store).await.expect("a host")
 }
 
 /// Spawns a host whose store holds targets, and waits until it is ready.
--- a/toucanhoist-store/src/socket.rs
+++ b/toucanhoist-store/src/socket.rs
@@ -1,11 +1,15 @@
 //! TCP sockets and their options.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use {
     socket2::{SockRef, TcpKeepalive},
     tokio::{
-        net::{TcpListener, TcpStream},
+        net::{TcpListener, TcpSocket, TcpStream},
         time,
     },
 };
@@ -33,7 +37,27 @@
 ///
 /// The peer refuses the connection, or does not accept it in time.
 pub async fn connect(address: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
-    let stream = time::timeout(timeout, TcpStream::connect(address))
+    connect_from(None, address, timeout).await
+}
+
+/// Connects within `timeout` from a local address; `None` leaves the choice to the system.
+///
+/// # Errors
+///
+/// The local address cannot be bound, or the peer refuses the connection or does not accept it in
+/// time.
+pub async fn connect_from(
+    local: Option<IpAddr>,
+    address: SocketAddr,
+    timeout: Duration,
+) -> io::Result<TcpStream> {
+    let connecting = async {
+        let Some(local) = local else { return TcpStream::connect(address).await };
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.bind(SocketAddr::new(local, 0))?;
+        socket.connect(address).await
+    };
+    let stream = time::timeout(timeout, connecting)
         .await
         .map_err(|_| io::Error::new(io::ErrorKind::TimedOut, "connecting timed out"))??;
     configure(&stream)?;
