Add a failing test: a host without paths to targets serves nobody

Three hosts, four targets; the targets drop all that comes from one of the hosts. From three seconds after that, 0 of its 60 callers are served, while the two other hosts reach all targets. The bound is the users': at most 10 and one in fifty may fail.

--- a/toucanhoist-edge/tests/edge.rs
+++ b/toucanhoist-edge/tests/edge.rs
@@ -12,6 +12,8 @@
     toucanhoist_core::steering::{Key, TargetState, Value},
 };
 
+#[path = "edge/cut.rs"]
+mod cut;
 #[path = "edge/endless.rs"]
 mod endless;
 #[path = "edge/malformed.rs"]
