--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -93,6 +93,7 @@
             Ok(Err(error)) => {
                 if error.message().is_none() {
                     self.ledger.record_answer(&id, 0);
+                    self.ledger.record_host_answer(host, 0);
                     self.check_closed(&id, host, disruptions, sent).await;
                 }
                 return None;
@@ -106,6 +107,7 @@
         let is_echoed = response.headers().get("x-request-id").is_some_and(|echo| *echo == *id);
         let body = response.into_body().collect().await.map(|body| body.to_bytes());
         self.ledger.record_answer(&id, status);
+        self.ledger.record_host_answer(host, status);
         match body {
             Ok(body) if status == 200 && (body != id || !is_echoed) => {
                 self.ledger
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -36,12 +36,14 @@
     StoreLink(proxy::Fault),
     TargetLink(proxy::Fault),
     Target(target::Fault),
+    /// A host loses its paths to the targets of some data centres.
+    Cut(proxy::Cut),
     Replace,
     Configure,
     Evacuate,
 }
 
-const KINDS: [Kind; 23] = [
+const KINDS: [Kind; 27] = [
     Kind::Kill,
     Kind::Kill,
     Kind::Terminate,
@@ -65,6 +67,10 @@
     Kind::Target(target::Fault::Failing),
     Kind::Evacuate,
     Kind::TargetLink(proxy::Fault::StalledDownstream),
+    Kind::Cut(proxy::Cut::Hang),
+    Kind::Cut(proxy::Cut::Hang),
+    Kind::Cut(proxy::Cut::Reset),
+    Kind::Cut(proxy::Cut::Reset),
 ];
 
 /// Separates the random numbers of restores from those of other faults.
@@ -168,6 +174,13 @@
             time::sleep(duration).await;
             with_target(cluster, selector, |target| target.set_fault(target::Fault::None)).await;
         }
+        Kind::Cut(cut) => {
+            // One, two or all data centres.
+            let zones = &ZONES[..1 + selector / 7 % ZONES.len()];
+            cut_host(cluster, host, zones, Some(cut)).await;
+            time::sleep(duration).await;
+            cut_host(cluster, host, &ZONES, None).await;
+        }
         Kind::Replace => replace(cluster, selector).await,
         Kind::Configure => {
             let version = version.fetch_add(1, Ordering::Relaxed) + 1;
@@ -201,6 +214,18 @@
     host.restart().await;
 }
 
+/// Cuts a host off from the targets of some data centres, or ends that. Targets that start later are reached.
+pub async fn cut_host(
+    cluster: &Cluster,
+    host: &Host,
+    zones: &[(&str, &str)],
+    cut: Option<proxy::Cut>,
+) {
+    let targets = cluster.targets.lock().await;
+    let is_in = |target: &&Target| zones.iter().any(|(zone, _)| *zone == target.zone);
+    targets.iter().filter(is_in).for_each(|target| target.proxy.set_cut(host.source, cut));
+}
+
 async fn with_target(cluster: &Cluster, selector: usize, change: impl Fn(&Target)) {
     let targets = cluster.targets.lock().await;
     change(&targets[selector % targets.len()]);
--- a/tests/soak/host.rs
+++ b/tests/soak/host.rs
@@ -29,6 +29,8 @@
 #[derive(Debug)]
 pub struct Host {
     pub callers: SocketAddr,
+    /// Address from which it connects to targets.
+    pub source: Ipv4Addr,
     /// Proxy between the host and the store.
     pub store: Proxy,
     settings: PathBuf,
@@ -89,7 +91,7 @@
                 "callers": addresses.callers, "readiness": addresses.readiness,
                 "directory": addresses.directory, "peers": addresses.peers, "metrics": addresses.metrics,
             },
-            "seeds": seeds, "first_start": true, "store": store.address,
+            "connect_from": addresses.callers.ip(), "seeds": seeds, "first_start": true, "store": store.address,
             "bounds": {
                 "grace_s": GRACE.as_secs_f64(), "retry_ratio": 0.2, "retry_extra": 56,
                 "retry_window_s": 10, "cold_factor": 1.5, "cold_extra": 5,
@@ -101,7 +103,8 @@
         let log = folder.join(format!("h{number}.log"));
         let child = Mutex::new(start(&path, &log));
         let (callers, disruptions) = (addresses.callers, AtomicU32::new(0));
-        Host { callers, store, settings: path, log, child, disruptions }
+        let IpAddr::V4(source) = callers.ip() else { panic!("{callers} is not IPv4") };
+        Host { callers, source, store, settings: path, log, child, disruptions }
     }
 
     /// Records that the host is killed, paused or resumed.
--- a/tests/soak/ledger.rs
+++ b/tests/soak/ledger.rs
@@ -33,6 +33,8 @@
     violations: Vec<String>,
     /// Answers by status.
     answers: BTreeMap<u16, u32>,
+    /// Answers of each host, and those that were served or were over a rate.
+    host_answers: BTreeMap<usize, (u32, u32)>,
 }
 
 /// Record of all requests, runs and answers.
@@ -99,6 +101,19 @@
         }
     }
 
+    /// Records the answer of a host, with the same statuses.
+    pub fn record_host_answer(&self, host: usize, status: u16) {
+        let mut state = self.state();
+        let (all, served) = state.host_answers.entry(host).or_default();
+        *all += 1;
+        *served += u32::from(matches!(status, 200 | 429));
+    }
+
+    /// Returns the number of answers so far by host, and of those that were served or over a rate.
+    pub fn host_answers(&self) -> BTreeMap<usize, (u32, u32)> {
+        self.state().host_answers.clone()
+    }
+
     /// Returns the number of answers so far, by status.
     pub fn answers(&self) -> BTreeMap<u16, u32> {
         self.state().answers.clone()
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -57,6 +57,13 @@
 const RECOVERY_MAX: Duration = Duration::from_secs(15);
 /// Fraction of the answers after the recovery that must be neither failures nor refusals for lack of capacity.
 const SERVED_FRACTION: f64 = 0.9;
+/// Time after which callers of a host that is cut off from all targets must be served, and the time over which they
+/// are counted: the users' bounds, as are the next two.
+const CUT_GRACE: Duration = Duration::from_secs(3);
+const CUT_SAMPLE: Duration = Duration::from_secs(2);
+/// Failures that are tolerated at the host: a number, and one in so many requests.
+const CUT_FAILED_MAX: u32 = 10;
+const CUT_FAILED_ONE_IN: u32 = 50;
 /// Limit that a target names at the end of a run; callers send it twenty times as much without.
 const LIMIT_PER_SECOND: f64 = 2.0;
 /// Time-out for the first successful answer.
@@ -141,6 +148,7 @@
     let before = cluster.ledger.answers();
     time::sleep(RECOVERY_SAMPLE).await;
     let after = cluster.ledger.answers();
+    violations.extend(cut_a_host(&cluster, seed).await);
     limit_a_target(&cluster).await;
     ended.store(true, Ordering::Relaxed);
     while callers.join_next().await.is_some() {}
@@ -163,6 +171,36 @@
     violations
 }
 
+/// Cuts a host off from all targets for a while; returns the violation if its callers are served far less often than
+/// others.
+async fn cut_a_host(cluster: &Cluster, seed: u64) -> Option<String> {
+    let number = usize::try_from(seed).expect("a small number") % HOSTS;
+    let host = &cluster.hosts[number];
+    faults::cut_host(cluster, host, &ZONES, Some(proxy::Cut::Hang)).await;
+    time::sleep(CUT_GRACE).await;
+    let before = cluster.ledger.host_answers();
+    time::sleep(CUT_SAMPLE).await;
+    let after = cluster.ledger.host_answers();
+    faults::cut_host(cluster, host, &ZONES, None).await;
+    let count = |is_counted: &dyn Fn(usize) -> bool| {
+        let counted = after.iter().filter(|(host, _)| is_counted(**host));
+        counted.fold((0, 0), |(all, served), (host, (all_after, served_after))| {
+            let (all_before, served_before) = before.get(host).copied().unwrap_or_default();
+            (all + all_after - all_before, served + served_after - served_before)
+        })
+    };
+    let (all_here, served_here) = count(&|host| host == number);
+    let (all_there, served_there) = count(&|host| host != number);
+    let has_failed = all_here - served_here > CUT_FAILED_MAX + all_here / CUT_FAILED_ONE_IN
+        && 3 * served_here * all_there < 2 * served_there * all_here;
+    (has_failed || all_here == 0).then(|| {
+        format!(
+            "h{number}, cut off from all targets, served {served_here} of {all_here} requests, the other hosts \
+             {served_there} of {all_there}"
+        )
+    })
+}
+
 /// Has a target name a limit for a while, far below what it got before.
 async fn limit_a_target(cluster: &Cluster) {
     cluster.targets.lock().await[0].set_limit(LIMIT_PER_SECOND);
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -1,7 +1,8 @@
-//! A loopback proxy that can delay, reset or stall its connections.
+//! A loopback proxy that can delay, reset or stall its connections, or those of one client.
 
 use std::{
-    net::SocketAddr,
+    collections::BTreeSet,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -12,6 +13,7 @@
     sync::watch,
     time,
 };
+use toucanhoist_fakes::link::Links;
 
 /// What happens to connections.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -28,11 +30,23 @@
     StalledDownstream,
 }
 
+/// What happens to the connections from one address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cut {
+    /// Open ones fall silent, and new ones are not established.
+    Hang,
+    /// Open and new ones are reset.
+    Reset,
+}
+
 /// The proxy in front of one server.
 #[derive(Debug)]
 pub struct Proxy {
     pub address: SocketAddr,
+    links: Links,
     fault: watch::Sender<Fault>,
+    /// Addresses whose connections are reset.
+    reset: watch::Sender<BTreeSet<IpAddr>>,
     to: Arc<Mutex<SocketAddr>>,
 }
 
@@ -41,16 +55,35 @@
     pub async fn bind(to: SocketAddr) -> Proxy {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
+        let links = Links::new(&listener).expect("links");
         let (fault, faults) = watch::channel(Fault::None);
+        let (reset, resets) = watch::channel(BTreeSet::new());
         let to = Arc::new(Mutex::new(to));
-        let target = Arc::clone(&to);
+        let (target, accepted) = (Arc::clone(&to), links.clone());
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            while let Ok((stream, from)) = listener.accept().await {
                 let to = *target.lock().unwrap_or_else(PoisonError::into_inner);
-                tokio::spawn(forward(stream, to, faults.clone()));
+                let link = accepted.add(&stream).expect("a link");
+                let forwarding = forward(stream, from.ip(), to, faults.clone(), resets.clone());
+                tokio::spawn(async move {
+                    forwarding.await;
+                    drop(link);
+                });
+            }
+        });
+        Proxy { address, links, fault, reset, to }
+    }
+
+    /// Cuts the connections from an address, or ends what cut them.
+    pub fn set_cut(&self, from: Ipv4Addr, cut: Option<Cut>) {
+        self.links.set_cut(from, cut == Some(Cut::Hang)).expect("a filter");
+        self.reset.send_modify(|reset| {
+            if cut == Some(Cut::Reset) {
+                reset.insert(from.into());
+            } else {
+                reset.remove(&IpAddr::from(from));
             }
         });
-        Proxy { address, fault, to }
     }
 
     /// Sets what happens to connections.
@@ -64,8 +97,14 @@
     }
 }
 
-async fn forward(client: TcpStream, to: SocketAddr, mut faults: watch::Receiver<Fault>) {
-    if *faults.borrow() == Fault::Reset {
+async fn forward(
+    client: TcpStream,
+    from: IpAddr,
+    to: SocketAddr,
+    mut faults: watch::Receiver<Fault>,
+    mut resets: watch::Receiver<BTreeSet<IpAddr>>,
+) {
+    if *faults.borrow() == Fault::Reset || resets.borrow().contains(&from) {
         return reset(&client);
     }
     let Ok(server) = TcpStream::connect(to).await else { return reset(&client) };
@@ -78,6 +117,7 @@
         _ = copies => {}
         // Dropping the connections while bytes are in transit resets them.
         _ = faults.wait_for(|fault| *fault == Fault::Reset) => {}
+        _ = resets.wait_for(|reset| reset.contains(&from)) => {}
     }
 }
 
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -81,7 +81,7 @@
     pub id: String,
     pub proxy: Proxy,
     service: &'static str,
-    zone: &'static str,
+    pub zone: &'static str,
     store: Arc<Store>,
     shared: Arc<Shared>,
     task: JoinHandle<()>,
--- a/toucanhoist-core/src/event.rs
+++ b/toucanhoist-core/src/event.rs
@@ -110,6 +110,10 @@
     QuarantineReleased 2104 Warn "quarantine-released"
     /// The plan diverts callers of a region to other regions.
     Planned 2105 Info "planned"
+    /// The host reaches no targets itself.
+    CutOff 2109 Warn "cut-off"
+    /// The host reaches targets again.
+    CutOffEnded 2110 Info "cut-off-ended"
     /// An invariant was violated.
     InvariantViolated 2102 Error "invariant-violated"
     /// A submission was recorded and may be sent.
--- a/toucanhoist-core/src/steering.rs
+++ b/toucanhoist-core/src/steering.rs
@@ -23,6 +23,7 @@
 pub mod limit;
 mod load;
 mod mirror;
+mod path;
 mod placement;
 mod precedence;
 mod processing_time;
@@ -33,7 +34,7 @@
 pub use self::{
     advertised::advertised_hosts,
     announced::Announced,
-    balancer::{Balancer, LOAD_EXCHANGE_HOSTS_MIN, LOAD_EXCHANGE_INTERVAL, Settings, Tag},
+    balancer::{Balancer, LOAD_EXCHANGE_HOSTS_MIN, LOAD_EXCHANGE_INTERVAL, Probe, Settings, Tag},
     bootstrap::Bootstrap,
     budget::{RetryBudget, Terms as RetryTerms},
     catch_up::CatchUp,
@@ -45,6 +46,7 @@
     limit::Report as LimitReport,
     load::{Load, Observations, Reading, Report},
     mirror::{Mirror, Update},
+    path::{Failure, Path, Step},
     placement::{Attempt, Crossing, Outcome, Placement, PlacementRequest, Refused, Ticket},
     processing_time::ProcessingTime,
     registry::{Registry, Snapshot},
--- a/toucanhoist-core/src/steering/balancer.rs
+++ b/toucanhoist-core/src/steering/balancer.rs
@@ -2,17 +2,20 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
+    net::SocketAddr,
     time::Duration,
 };
 
 use super::{
-    Announced, Attempt, ColdLimit, Config, LimitReport, Observations, Outcome, Placement,
-    PlacementRequest, ProcessingTime, Refused, RetryBudget, ServiceTerms, Target, Ticket, budget,
+    Announced, Attempt, ColdLimit, Config, Failure, LimitReport, Observations, Outcome, Path,
+    Placement, PlacementRequest, ProcessingTime, Refused, RetryBudget, ServiceTerms, Step, Target,
+    Ticket, budget,
     limit::{self, Knowledge},
 };
 use crate::{clock::Time, id};
 
 mod choice;
+mod paths;
 mod peers;
 mod service;
 mod split;
@@ -21,6 +24,7 @@
 mod typical_load;
 
 use self::{
+    paths::{Paths, Wanted},
     peers::Peers,
     service::Service,
     topology::{Proximity, Topology},
@@ -81,6 +85,18 @@
     targets: HashMap<id::Target, id::Service>,
     peers: Peers,
     limits: Knowledge,
+    paths: Paths,
+}
+
+/// A connection that is tried to learn whether the direct path to a target works.
+#[derive(Clone, Debug)]
+pub struct Probe {
+    /// Target.
+    pub target: id::Target,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Attempts.
+    pub steps: Vec<Step>,
 }
 
 impl Balancer {
@@ -95,6 +111,7 @@
             services: HashMap::new(),
             targets: HashMap::new(),
             peers: Peers::default(),
+            paths: Paths::default(),
         }
     }
 
@@ -115,6 +132,7 @@
     pub fn take_observations(&mut self, now: Time) -> HashMap<Tag, Observations> {
         let targets = self.services.values_mut().flat_map(|service| &mut service.targets);
         targets
+            .filter(|target| !self.paths.has_failed(&target.name))
             .filter_map(|target| Some((target.tag(), target.load.take_observations(now)?)))
             .collect()
     }
@@ -175,6 +193,13 @@
 
     /// Sets a target's entry; `None` removes the target.
     pub fn set_target(&mut self, now: Time, name: &id::Target, entry: Option<&Target>) {
+        let is_same = |known: &Target, entry: &Target| {
+            (known.address, known.born) == (entry.address, entry.born)
+        };
+        let is_known = self.entry(name).zip(entry).is_some_and(|(known, new)| is_same(known, new));
+        if !is_known {
+            self.paths.remove(name);
+        }
         let service = self.targets.remove(name);
         let target = service.and_then(|service| self.services.get_mut(&service)?.remove(name));
         let Some(entry) = entry else { return };
@@ -216,7 +241,7 @@
         }
         let service = self.services.get_mut(&request.service).expect("it was just inserted");
         if service.admit(now, &self.settings, &self.topology, request) {
-            return service.serve(now, &self.settings, &self.topology);
+            return service.serve(now, &self.settings, &self.topology, &self.paths);
         }
         let (reason, retry_after) = (Refused::NoBudget, service::RETRY_AFTER_MIN);
         vec![(number, Placement::Refuse { reason, retry_after })]
@@ -235,7 +260,9 @@
 
     fn serve(&mut self, now: Time, which: impl Fn(&Service) -> bool) -> Vec<(u64, Placement)> {
         let services = self.services.values_mut().filter(|service| which(service));
-        services.flat_map(|service| service.serve(now, &self.settings, &self.topology)).collect()
+        services
+            .flat_map(|service| service.serve(now, &self.settings, &self.topology, &self.paths))
+            .collect()
     }
 
     /// Whether requests wait.
@@ -251,7 +278,7 @@
     /// Records how a request ended at its target.
     pub fn end(&mut self, now: Time, ticket: &Ticket, outcome: Outcome) {
         if let Some(service) = self.services.get_mut(&ticket.service) {
-            service.end(now, ticket, outcome);
+            service.end(now, &mut self.paths, ticket, outcome);
         }
         match outcome {
             Outcome::Answered { announced, .. } => self.hear(now, ticket, announced, true),
@@ -260,6 +287,75 @@
         }
     }
 
+    /// Returns the attempts to connect to a target, for a request that may be handled in `homes`, or
+    /// anywhere if that is empty.
+    pub fn plan_connection(
+        &self,
+        now: Time,
+        target: &id::Target,
+        homes: &[id::Region],
+    ) -> Vec<Step> {
+        let Some(entry) = self.entry(target) else { return Vec::new() };
+        let wanted = Wanted { target, data_centre: &entry.data_centre, homes };
+        self.paths.plan(now, &self.topology, wanted)
+    }
+
+    /// Records how an attempt to connect ended.
+    pub fn record_connection(
+        &mut self,
+        now: Time,
+        target: &id::Target,
+        path: &Path,
+        result: Result<(), Failure>,
+    ) {
+        let service = self.targets.get(target).and_then(|service| self.services.get_mut(service));
+        let Some(target) = service.and_then(|service| service.target_mut(target)) else { return };
+        let data_centre = &target.entry.data_centre;
+        if self.paths.record(now, &target.name, data_centre, path, result) {
+            target.load.discard_observations(now);
+        }
+    }
+
+    /// Returns whether this host can carry a tunnel to a target at an address.
+    ///
+    /// # Errors
+    ///
+    /// It has no path to the target, or to any.
+    pub fn check_tunnel(&self, target: &id::Target, address: SocketAddr) -> Result<(), Failure> {
+        match self.address(target) {
+            Some(known) if known == address => self.paths.check_tunnel(target),
+            _ => Err(Failure::NoPath),
+        }
+    }
+
+    /// Returns the connections that are to be tried now, to learn whether direct paths work.
+    pub fn due_probes(&mut self, now: Time) -> Vec<Probe> {
+        let due = self.paths.due_probes(now);
+        let probe = |(target, tries_others): (id::Target, bool)| {
+            let address = self.address(&target)?;
+            let mut steps = self.plan_connection(now, &target, &[]);
+            if !tries_others {
+                steps = vec![Step { path: Path::Direct, delay: Duration::ZERO }];
+            }
+            Some(Probe { target, address, steps })
+        };
+        due.into_iter().filter_map(probe).collect()
+    }
+
+    /// Whether this host reaches no targets, as far as it knows.
+    pub fn is_cut_off(&self) -> bool {
+        self.paths.is_cut_off()
+    }
+
+    fn entry(&self, target: &id::Target) -> Option<&Target> {
+        let service = self.services.get(self.targets.get(target)?)?;
+        Some(&service.targets.iter().find(|known| known.name == *target)?.entry)
+    }
+
+    fn address(&self, target: &id::Target) -> Option<SocketAddr> {
+        Some(self.entry(target)?.address)
+    }
+
     /// Records what an answer announces whose body has not ended yet.
     pub fn record_announced(&mut self, now: Time, ticket: &Ticket, announced: Announced) {
         self.hear(now, ticket, announced, true);
--- a/toucanhoist-core/src/steering/balancer/choice.rs
+++ b/toucanhoist-core/src/steering/balancer/choice.rs
@@ -8,6 +8,7 @@
 
 use super::{
     PlacementRequest, ProcessingTime, TrackedTarget,
+    paths::Paths,
     topology::{Proximity, Region, Topology},
     tracked_target::Turn,
     typical_load::TypicalLoad,
@@ -51,6 +52,7 @@
 pub(super) struct Context<'a> {
     pub targets: &'a mut [TrackedTarget],
     pub topology: &'a Topology,
+    pub paths: &'a Paths,
     /// Whether one more request may overflow to another region.
     pub may_overflow: bool,
     /// Whether the plan diverts the request to another region.
@@ -77,6 +79,8 @@
     next_turn: NextTurn,
     /// Whether a target is unavailable for another reason, and may become available.
     may_recover: bool,
+    /// Shortest time until a target may be reached again.
+    reachable_s: Option<f64>,
 }
 
 /// When this host may next send a request to a target with a limit.
@@ -101,12 +105,26 @@
     pub(super) fn next_turn_s(&self, ahead: usize) -> Option<f64> {
         let wait_s = self.next_turn.wait_s?;
         if wait_s.is_infinite() {
-            return (!self.may_recover).then_some(wait_s);
+            let may_recover = self.may_recover || self.reachable_s.is_some();
+            return (!may_recover).then_some(wait_s);
         }
         Some(wait_s + ahead as f64 / self.next_turn.rate_per_s)
     }
 }
 
+impl Choice {
+    /// Returns the time until a target may be reached, in seconds, if all of them are out of reach now.
+    pub(super) fn unreachable_s(&self) -> Option<f64> {
+        let is_only_reason =
+            self.least_wait_s.is_none() && self.next_turn.wait_s.is_none() && !self.may_recover;
+        self.reachable_s.filter(|_| self.best.is_none() && is_only_reason)
+    }
+
+    fn add_unreachable(&mut self, wait_s: f64) {
+        self.reachable_s = Some(self.reachable_s.map_or(wait_s, |least| least.min(wait_s)));
+    }
+}
+
 /// A target that could serve the request.
 struct Eligible {
     score: u64,
@@ -117,9 +135,15 @@
 /// Chooses a target for a request.
 pub(super) fn choose(now: Time, request: &PlacementRequest, context: Context<'_>) -> Choice {
     let eligible = eligible_targets(request, &context);
+    let isolation = context.paths.isolation(now, context.topology);
+    let unreachable_for = |target: &TrackedTarget| {
+        let is_unlikely = || context.paths.is_unlikely(&target.name, &target.entry.data_centre);
+        let wait = isolation.filter(|_| is_unlikely()).unwrap_or_default();
+        wait.max(target.load.back_off_left(now))
+    };
     let is_reachable_in_region = |candidate: &Eligible| {
         let target = &context.targets[candidate.index];
-        target.proximity != Proximity::Remote && !target.load.is_backing_off(now)
+        target.proximity != Proximity::Remote && unreachable_for(target).is_zero()
     };
     let is_region_unreachable = !eligible.iter().any(is_reachable_in_region);
     let may_cross = context.may_overflow || context.is_diverted || is_region_unreachable;
@@ -134,6 +158,11 @@
         if crosses && !may_cross {
             continue;
         }
+        let unreachable_for = unreachable_for(target);
+        if !unreachable_for.is_zero() {
+            choice.add_unreachable(unreachable_for.as_secs_f64());
+            continue;
+        }
         if !target.is_available(now, context.connections) {
             choice.may_recover = true;
             continue;
--- a/toucanhoist-core/src/steering/balancer/service.rs
+++ b/toucanhoist-core/src/steering/balancer/service.rs
@@ -9,6 +9,7 @@
     Attempt, ColdLimit, Placement, PlacementRequest, ProcessingTime, Refused, RetryBudget,
     ServiceTerms, Settings, Ticket,
     choice::{self, Candidate, Choice, Context},
+    paths::Paths,
     split::{self, Split, Supply},
     topology::Topology,
     tracked_target::TrackedTarget,
@@ -174,13 +175,14 @@
     }
 
     /// Records how a request ended at its target.
-    pub(super) fn end(&mut self, now: Time, ticket: &Ticket, outcome: Outcome) {
+    pub(super) fn end(&mut self, now: Time, paths: &mut Paths, ticket: &Ticket, outcome: Outcome) {
         self.has_freed_slot = true;
         let target = self.targets.iter_mut().find(|target| target.name == ticket.target);
         if let Some(target) = target {
             target.load.end();
             if target.entry.address == ticket.address {
-                target.record_outcome(now, ticket, outcome);
+                let is_path_whole = paths.record_outcome(now, ticket, &target.entry, outcome);
+                target.record_outcome(now, ticket, outcome, is_path_whole);
             }
             self.typical_load.learn(now, target);
             if target.misdirected {
@@ -206,6 +208,7 @@
         now: Time,
         settings: &Settings,
         topology: &Topology,
+        paths: &Paths,
     ) -> Vec<(u64, Placement)> {
         self.has_freed_slot = false;
         for target in &mut self.targets {
@@ -214,7 +217,7 @@
         let mut decided = Vec::new();
         let mut kept = Vec::new();
         for request in std::mem::take(&mut self.waiting) {
-            match self.decide(now, settings, topology, &request, kept.len()) {
+            match self.decide(now, settings, topology, paths, &request, kept.len()) {
                 Some(placement) => decided.push((request.number, placement)),
                 None => kept.push(request),
             }
@@ -229,6 +232,7 @@
         now: Time,
         settings: &Settings,
         topology: &Topology,
+        paths: &Paths,
         request: &PlacementRequest,
         ahead: usize,
     ) -> Option<Placement> {
@@ -237,10 +241,15 @@
             Some(Placement::Refuse { reason, retry_after: wait.max(RETRY_AFTER_MIN) })
         };
         let wait_max_s = self.give_up_at(now, request).since(now).as_secs_f64();
-        let choice = self.choose(now, settings, topology, request, wait_max_s);
+        let choice = self.choose(now, settings, topology, paths, request, wait_max_s);
         if !choice.has_eligible {
             return refuse(Refused::NoTarget, 0.0);
         }
+        if let Some(wait_s) = choice.unreachable_s() {
+            if wait_s >= wait_max_s || paths.is_cut_off() {
+                return refuse(Refused::Unreachable, wait_s);
+            }
+        }
         let Some(best) = choice.best else {
             if let Some(turn_s) = choice.next_turn_s(ahead) {
                 if turn_s < wait_max_s && ahead < WAITING_MAX {
@@ -259,7 +268,7 @@
             return refuse(Refused::NoRoom, best.wait_s);
         }
         if best.has_room {
-            return Some(Placement::Send(self.send(now, settings, request, best)));
+            return Some(Placement::Send(self.send(now, settings, paths, request, best)));
         }
         if wait_max_s <= 0.0 || ahead >= WAITING_MAX {
             return refuse(Refused::NoRoom, best.wait_s);
@@ -275,6 +284,7 @@
         now: Time,
         settings: &Settings,
         topology: &Topology,
+        paths: &Paths,
         request: &PlacementRequest,
         wait_max_s: f64,
     ) -> Choice {
@@ -290,6 +300,7 @@
             is_diverted: self.split.is_diverted(request.object.unwrap_or(request.number)),
             targets: &mut self.targets,
             topology,
+            paths,
             typical_load: &self.typical_load,
             connections,
             wait_max_s,
@@ -302,6 +313,7 @@
         &mut self,
         now: Time,
         settings: &Settings,
+        paths: &Paths,
         request: &PlacementRequest,
         best: Candidate,
     ) -> Ticket {
@@ -314,6 +326,8 @@
         target.send(now);
         Ticket {
             number: request.number,
+            fresh_after: paths.fresh_after(&best.target),
+            via: None,
             target: best.target,
             address: target.entry.address,
             service: request.service.clone(),
--- a/toucanhoist-core/src/steering/balancer/topology.rs
+++ b/toucanhoist-core/src/steering/balancer/topology.rs
@@ -1,7 +1,11 @@
 //! Data centres, regions and entry hosts, as seen by a balancer.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
+use super::paths::Wanted;
 use crate::{id, membership::rendezvous_score, steering::limit};
 
 /// Location of a target relative to the host.
@@ -15,6 +19,14 @@
     Remote,
 }
 
+/// Which hosts are asked for a tunnel.
+pub(super) struct Preference<'a> {
+    /// Whether a host may be asked now.
+    pub is_usable: &'a dyn Fn(&id::EntryHost) -> bool,
+    /// Whether hosts of a data centre are asked after all others.
+    pub is_doubtful: &'a dyn Fn(&id::DataCentre) -> bool,
+}
+
 /// Index of a region.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub(super) struct Region(pub usize);
@@ -134,6 +146,43 @@
         self.hosts.keys().filter(|host| **host != self.host)
     }
 
+    /// Returns up to `count` other hosts that may carry a tunnel to a target: those of its data centre
+    /// first, then those of its region, as the exchange passes there anyway. Different hosts get
+    /// different ones of each group. Where homes restrict the regions, only hosts of these carry it.
+    pub(super) fn helpers(
+        &self,
+        wanted: Wanted<'_>,
+        count: usize,
+        preference: Preference<'_>,
+    ) -> Vec<id::EntryHost> {
+        let region = self.region_of(wanted.data_centre);
+        let key = format!("{}/{}", self.host, wanted.target);
+        let mut helpers: Vec<_> = self
+            .hosts
+            .iter()
+            .filter(|(host, data_centre)| {
+                **host != self.host
+                    && self.is_allowed(self.region_of(data_centre), wanted.homes)
+                    && (preference.is_usable)(host)
+            })
+            .map(|(host, data_centre)| {
+                let distance = (
+                    (preference.is_doubtful)(data_centre),
+                    data_centre != wanted.data_centre,
+                    self.region_of(data_centre) != region,
+                );
+                (distance, Reverse(rendezvous_score(host.as_str(), &key)), host)
+            })
+            .collect();
+        helpers.sort_unstable();
+        helpers.into_iter().take(count).map(|(.., host)| host.clone()).collect()
+    }
+
+    /// Returns the data centre of a host.
+    pub(super) fn data_centre_of(&self, host: &id::EntryHost) -> Option<&id::DataCentre> {
+        self.hosts.get(host)
+    }
+
     /// Returns the host's place in the order of all hosts for a target's limit: hosts of its region
     /// first, each group by rendezvous score.
     pub(super) fn limit_place(&self, target: &id::Target, region: Region) -> limit::Place {
--- a/toucanhoist-core/src/steering/balancer/tracked_target.rs
+++ b/toucanhoist-core/src/steering/balancer/tracked_target.rs
@@ -225,7 +225,15 @@
         self.load.send();
     }
 
-    pub(super) fn record_outcome(&mut self, now: Time, ticket: &Ticket, outcome: Outcome) {
+    /// Records how a request ended. `is_path_whole` says whether a request without an answer is known
+    /// to have reached it, since others were answered meanwhile.
+    pub(super) fn record_outcome(
+        &mut self,
+        now: Time,
+        ticket: &Ticket,
+        outcome: Outcome,
+        is_path_whole: bool,
+    ) {
         match outcome {
             Outcome::Answered { took, report, failed, .. } => {
                 if let Some(report) = report {
@@ -250,20 +258,26 @@
             }
             Outcome::Misdirected => self.misdirected = true,
             Outcome::Unreachable => self.load.record_unreachable(now),
-            Outcome::Broken => self.load.record_outcome(now, true),
-            Outcome::Unanswered => self.record_overdue(now, ticket, true),
-            Outcome::Abandoned => self.record_overdue(now, ticket, false),
+            Outcome::Unsent => {}
+            Outcome::Disconnected if !is_path_whole => self.load.record_silence(now, None),
+            Outcome::Broken | Outcome::Disconnected => self.load.record_outcome(now, true),
+            Outcome::Unanswered => self.record_overdue(now, ticket, true, is_path_whole),
+            Outcome::Abandoned => self.record_overdue(now, ticket, false, true),
         }
     }
 
     /// Records a request that ended without an answer, and would have taken longer still. If it had
     /// a slot and is overdue, the time until now counts as its time; if `failed` is set, it also
     /// counts as a failure.
-    fn record_overdue(&mut self, now: Time, ticket: &Ticket, failed: bool) {
+    fn record_overdue(&mut self, now: Time, ticket: &Ticket, failed: bool, is_path_whole: bool) {
         let multiple = now.since(ticket.sent).as_secs_f64() / ticket.expected_s.max(0.001);
         if multiple < OVERDUE_MULTIPLE || ticket.busy >= f64::from(self.entry.slots) {
             return;
         }
+        if !is_path_whole {
+            self.load.record_silence(now, Some(multiple));
+            return;
+        }
         self.load.record_time(now, multiple);
         if failed {
             self.load.record_outcome(now, true);
--- a/toucanhoist-core/src/steering/load.rs
+++ b/toucanhoist-core/src/steering/load.rs
@@ -162,6 +162,11 @@
         now < self.back_off_until
     }
 
+    /// Returns the time until the target is used again after it was unreachable.
+    pub fn back_off_left(&self, now: Time) -> Duration {
+        self.back_off_until.since(now)
+    }
+
     /// Whether the target was unreachable at the last try.
     pub fn was_unreachable(&self) -> bool {
         self.back_off_until != Time::ZERO
@@ -206,6 +211,22 @@
         self.observe(now, Observations { times: 1, multiples, ..Observations::default() });
     }
 
+    /// Records a request without an answer that the path to the target may have lost. Other hosts
+    /// are not told, as their paths may be whole.
+    /// `multiple` is its time, as a multiple of the expected time, if that was overdue.
+    pub fn record_silence(&mut self, now: Time, multiple: Option<f64>) {
+        let multiples = multiple.map_or(0.0, |m| m.clamp(SLOWNESS_MIN, SLOWNESS_MAX));
+        let times = u32::from(multiple.is_some());
+        self.apply(now, &Observations { times, multiples, ends: 1, failed: 1 }, 1.0);
+    }
+
+    /// Discards observations that were made over a path that has turned out to be lost.
+    pub fn discard_observations(&mut self, now: Time) {
+        (self.slowness, self.failing, self.learned_at) = (1.0, 0.0, now);
+        (self.unsent, self.unsent_since) = (Observations::default(), now);
+        (self.back_off_until, self.back_off) = (Time::ZERO, BACK_OFF_MIN);
+    }
+
     /// Records whether a request failed.
     pub fn record_outcome(&mut self, now: Time, failed: bool) {
         self.observe(
--- a/toucanhoist-core/src/steering/placement.rs
+++ b/toucanhoist-core/src/steering/placement.rs
@@ -94,6 +94,10 @@
     pub limit_version: u64,
     /// Start time of the target.
     pub born: u64,
+    /// Time since which a kept connection must have been in use to be used again.
+    pub fresh_after: Time,
+    /// The host through whose tunnel the request was sent; `None` if it was sent directly.
+    pub via: Option<id::EntryHost>,
     /// Whether the request's time is a valid sample of the route's processing time: the target had
     /// a free slot and was not cold, and it is certain whether it handled the object recently.
     pub is_timing_valid: bool,
@@ -110,6 +114,8 @@
     Limited,
     /// The retry budget is used up.
     NoBudget,
+    /// Its targets cannot be reached from any host, as far as this host knows.
+    Unreachable,
 }
 
 impl Refused {
@@ -120,6 +126,7 @@
             Refused::NoRoom => "no-room",
             Refused::Limited => "limited",
             Refused::NoBudget => "no-budget",
+            Refused::Unreachable => "unreachable",
         }
     }
 }
@@ -163,8 +170,13 @@
     Misdirected,
     /// The target could not be reached; nothing was sent.
     Unreachable,
-    /// The connection ended without a complete answer.
+    /// Its deadline passed before there was a connection; nothing was sent.
+    Unsent,
+    /// The target closed the connection without a complete answer, or sent something else.
     Broken,
+    /// The connection was reset or fell silent before the answer was complete; the target has failed, or
+    /// the path to it.
+    Disconnected,
     /// Its deadline passed without an answer.
     Unanswered,
     /// Its caller left, and waiting for the answer was given up.
--- a/toucanhoist-core/tests/steering.rs
+++ b/toucanhoist-core/tests/steering.rs
@@ -22,6 +22,8 @@
 mod load;
 #[path = "steering/observations.rs"]
 mod observations;
+#[path = "steering/paths.rs"]
+mod paths;
 #[path = "steering/registry.rs"]
 mod registry;
 #[path = "steering/relay.rs"]
--- a/toucanhoist-edge/src/gateway/attempt.rs
+++ b/toucanhoist-edge/src/gateway/attempt.rs
@@ -147,7 +147,7 @@
 async fn attempt(
     shared: &Arc<Shared>,
     request: &Admitted,
-    lease: Lease,
+    mut lease: Lease,
     attempts: &mut Attempts,
 ) -> Next {
     let ticket = lease.ticket().clone();
@@ -160,11 +160,18 @@
         at_most_once: !request.route.repeatable,
         request_id: &request.id,
         deadline: request.deadline,
+        homes: &request.homes,
+        fresh_after: shared.clock.instant(ticket.fresh_after),
     };
     let outcome = shared.targets.run(exchange, || build(shared, request, &ticket.target)).await;
-    if let Err(failure) = &outcome {
-        log_failure(shared, request, &ticket, *failure, sent);
+    match &outcome {
+        Ok(answer) => lease.set_via(answer.via.clone()),
+        Err(failure) => {
+            lease.set_via(failure.via.clone());
+            log_failure(shared, request, &ticket, failure, sent);
+        }
     }
+    let is_tunnelled = lease.ticket().via.is_some();
     match outcome.map_err(|failure| failure.error) {
         Ok(answer) => handle_answer(shared, request, lease, answer, sent, attempts),
         Err(target::Error::Overdue | target::Error::Unreachable(Cause::DeadlinePassed)) => {
@@ -185,7 +192,7 @@
             Next::Refuse(Refusal::not_run(Code::NoRoom, detail).retry_after(SHED_RETRY_AFTER))
         }
         Err(error) => {
-            lease.end(Outcome::Broken);
+            lease.end(broken(error, is_tunnelled));
             attempts.sends += 1;
             attempts.may_have_run = true;
             if matches!(error, target::Error::Broken(_)) {
@@ -291,12 +298,22 @@
         && Instant::now() < request.deadline
 }
 
+/// Returns the outcome of an exchange that ended with an error.
+fn broken(error: target::Error, is_tunnelled: bool) -> Outcome {
+    match error {
+        target::Error::Broken(Cause::Reset | Cause::TimedOut) => Outcome::Disconnected,
+        // The host that carried it may have failed instead.
+        target::Error::Broken(_) if is_tunnelled => Outcome::Disconnected,
+        _ => Outcome::Broken,
+    }
+}
+
 /// Reports a suspected crash if a target that broke off a request no longer accepts connections.
 fn check_crash(shared: &Arc<Shared>, request: &Admitted, ticket: &Ticket) {
     let (shared, ticket) = (Arc::clone(shared), ticket.clone());
     let fingerprint = request.fingerprint;
     tokio::spawn(async move {
-        if !shared.targets.is_listening(ticket.address).await {
+        if shared.targets.is_listening(ticket.address, &ticket.target).await == Some(false) {
             shared.steer.send(Input::Crashed(fingerprint, ticket.target));
         }
     });
@@ -359,7 +376,7 @@
     shared: &Shared,
     request: &Admitted,
     ticket: &Ticket,
-    failure: target::Failure,
+    failure: &target::Failure,
     sent: Instant,
 ) {
     shared.journal.record(
@@ -369,6 +386,7 @@
             ("target", &ticket.target),
             ("error", &failure.error),
             ("connection", &if failure.is_kept { "kept" } else { "new" }),
+            ("via", &failure.via.as_ref().map_or("", id::EntryHost::as_str)),
             ("micros", &sent.elapsed().as_micros()),
         ],
     );
--- a/toucanhoist-edge/src/host.rs
+++ b/toucanhoist-edge/src/host.rs
@@ -24,7 +24,7 @@
     directory, fleet,
     gateway::{self, Phase, Shared},
     journal::Journal,
-    peers,
+    peers::{self, Tunnels},
     settings::Settings,
     steer,
     store::{self, Store},
@@ -48,6 +48,7 @@
     addresses: Addresses,
     phase: watch::Sender<Phase>,
     gateway: JoinHandle<()>,
+    tunnels: Tunnels,
     settings_file: Option<PathBuf>,
 }
 
@@ -84,6 +85,8 @@
         let clock = Clock::start();
         let started = clock::unix_ms();
         let (steer, steer_inputs) = steer::Handle::new();
+        let dialect = Arc::new(dialect);
+        let targets = target::Pool::new(Arc::clone(&dialect), settings.connect_from, steer.clone());
         let (phase, phase_read) = watch::channel(Phase::Serving);
         let fleet = fleet::spawn(fleet::Parts {
             settings: Arc::clone(&settings),
@@ -100,14 +103,15 @@
             Arc::clone(&journal),
             listeners.datagrams.clone(),
             steer.clone(),
+            targets.clone(),
         );
         tokio::spawn(task.run(steer_inputs));
         tokio::spawn(receive(listeners.datagrams.clone(), fleet.clone(), steer.clone()));
-        tokio::spawn(peers::serve(listeners.peers, fleet.clone()));
         follow(&store, &settings, &fleet, started);
-        let dialect = Arc::new(dialect);
+        let tunnels = Tunnels::new(targets.clone(), steer.clone(), phase_read.clone());
+        tokio::spawn(peers::serve(listeners.peers, fleet.clone(), tunnels.clone()));
         let shared = Arc::new(Shared {
-            targets: target::Pool::new(Arc::clone(&dialect), settings.connect_from),
+            targets,
             settings,
             dialect,
             fleet,
@@ -129,7 +133,7 @@
                 ("first_start", &shared.settings.first_start),
             ],
         );
-        Ok(Edge { shared, addresses, phase, gateway, settings_file: None })
+        Ok(Edge { shared, addresses, phase, gateway, tunnels, settings_file: None })
     }
 
     /// Sets the settings file that [`Edge::reload`] reads.
@@ -172,7 +176,12 @@
         time::sleep(LEAVE_TIME).await;
         self.phase.send_replace(Phase::Closing);
         let end = begun + self.shared.settings.bounds.grace_s.mul_f64(GRACE_FRACTION);
-        let is_complete = time::timeout_at(end, self.gateway).await.is_ok();
+        let all_ended = async {
+            // A panic of the task ends it as well.
+            let _ = self.gateway.await;
+            self.tunnels.ended().await;
+        };
+        let is_complete = time::timeout_at(end, all_ended).await.is_ok();
         journal.note(
             Event::Stopped,
             &[("whole", &is_complete), ("millis", &begun.elapsed().as_millis())],
--- a/toucanhoist-edge/src/peers.rs
+++ b/toucanhoist-edge/src/peers.rs
@@ -34,8 +34,9 @@
 use crate::{fleet, packing, server};
 
 mod backlog;
+pub mod tunnel;
 
-pub use self::backlog::Backlog;
+pub use self::{backlog::Backlog, tunnel::Tunnels};
 
 /// Size limit of a datagram.
 const DATAGRAM_BYTES_MAX: usize = 60_000;
@@ -166,12 +167,22 @@
     }
 }
 
-/// Serves snapshots of the registry to other hosts.
-pub async fn serve(listener: TcpListener, fleet: fleet::Handle) {
-    server::serve(listener, HEAD_TIMEOUT, move |request| answer(fleet.clone(), request)).await;
+/// Serves snapshots of the registry and tunnels to other hosts.
+pub async fn serve(listener: TcpListener, fleet: fleet::Handle, tunnels: Tunnels) {
+    server::serve(listener, HEAD_TIMEOUT, move |request| {
+        answer(fleet.clone(), tunnels.clone(), request)
+    })
+    .await;
 }
 
-async fn answer(fleet: fleet::Handle, request: Request<hyper::body::Incoming>) -> server::Answer {
+async fn answer(
+    fleet: fleet::Handle,
+    tunnels: Tunnels,
+    request: Request<hyper::body::Incoming>,
+) -> server::Answer {
+    if tunnel::is_tunnel(&request) {
+        return tunnels.answer(request).await;
+    }
     if request.uri().path() != SNAPSHOT_PATH {
         return server::empty(StatusCode::NOT_FOUND);
     }
--- a/toucanhoist-edge/src/server.rs
+++ b/toucanhoist-edge/src/server.rs
@@ -9,6 +9,7 @@
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     tokio::{net::TcpListener, time},
+    toucanhoist_store::socket,
 };
 
 /// Pause after a failed `accept`, usually for lack of file descriptors.
@@ -37,6 +38,10 @@
             time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        // A client that is gone without a word would keep its connection, and a tunnel, for good.
+        if socket::configure(&stream).is_err() {
+            continue;
+        }
         let answer = answer.clone();
         tokio::spawn(async move {
             let service = service_fn(move |request| {
@@ -48,6 +53,7 @@
                 .timer(TokioTimer::new())
                 .header_read_timeout(head_timeout)
                 .serve_connection(TokioIo::new(stream), service)
+                .with_upgrades()
                 .await;
         });
     }
--- a/toucanhoist-edge/src/steer.rs
+++ b/toucanhoist-edge/src/steer.rs
@@ -24,9 +24,9 @@
         id,
         quarantine::{Fingerprint, Quarantine},
         steering::{
-            Announced, Balancer, EntryHost, LOAD_EXCHANGE_HOSTS_MIN, LOAD_EXCHANGE_INTERVAL,
-            LimitReport, Outcome, Placement, PlacementRequest, Refused, RetryTerms, Routes,
-            Settings, Target, Ticket, limit::Learned,
+            self, Announced, Balancer, EntryHost, Failure, LOAD_EXCHANGE_HOSTS_MIN,
+            LOAD_EXCHANGE_INTERVAL, LimitReport, Outcome, Path, Placement, PlacementRequest, Probe,
+            Refused, RetryTerms, Routes, Settings, Target, Ticket, limit::Learned,
         },
     },
     toucanhoist_wire::steering::{Limits, Requests, Suspicions, packet},
@@ -36,7 +36,7 @@
 use crate::{
     clock::Clock,
     journal::{Field, Journal},
-    peers, settings,
+    peers, settings, target,
 };
 
 mod accounts;
@@ -77,6 +77,12 @@
     Place(Box<PendingRequest>),
     /// The request of a lease has ended.
     End(Box<Ticket>, Outcome),
+    /// A connection to a target is to be made for a request that may be handled in the regions, or anywhere.
+    Plan(id::Target, Box<[id::Region]>, oneshot::Sender<Vec<Step>>),
+    /// An attempt to connect to a target has ended.
+    Connected(id::Target, Path, Result<(), Failure>),
+    /// Another host asks for a tunnel to a target at an address.
+    CheckTunnel(id::Target, SocketAddr, oneshot::Sender<Result<(), Failure>>),
     /// The target of a request has begun an answer that announces a limit, or none.
     Announced(Box<Ticket>, Announced),
     /// A waiting request was cancelled.
@@ -87,6 +93,26 @@
     Answered(Fingerprint),
 }
 
+/// An attempt to connect to a target.
+#[derive(Clone, Debug)]
+pub struct Step {
+    /// How.
+    pub path: Path,
+    /// The host that would carry a tunnel.
+    pub helper: Option<Helper>,
+    /// Time for which the attempts before may take, unless all of them fail earlier.
+    pub delay: Duration,
+}
+
+/// A host that may carry a tunnel.
+#[derive(Clone, Debug)]
+pub struct Helper {
+    /// Its address for other hosts.
+    pub address: SocketAddr,
+    /// Its region.
+    pub region: Option<id::Region>,
+}
+
 /// A request that needs a target.
 #[derive(Debug)]
 pub struct PendingRequest {
@@ -121,6 +147,13 @@
         self.ticket.as_deref().expect("a lease has its ticket until it ends")
     }
 
+    /// Sets the host through whose tunnel the request was sent.
+    pub fn set_via(&mut self, via: Option<id::EntryHost>) {
+        if let Some(ticket) = &mut self.ticket {
+            ticket.via = via;
+        }
+    }
+
     /// Releases the lease, and reports how the request ended.
     pub fn end(mut self, outcome: Outcome) {
         if let Some(ticket) = self.ticket.take() {
@@ -167,6 +200,28 @@
         admitted.await.unwrap_or(Err(Duration::from_secs(1)))
     }
 
+    /// Returns the attempts to connect to a target.
+    pub async fn plan(&self, target: &id::Target, homes: &[id::Region]) -> Vec<Step> {
+        let (reply, plan) = oneshot::channel();
+        self.send(Input::Plan(target.clone(), homes.into(), reply));
+        plan.await.unwrap_or_default()
+    }
+
+    /// Returns whether this host can carry a tunnel to a target at an address.
+    ///
+    /// # Errors
+    ///
+    /// It has no path to the target, or to any.
+    pub async fn check_tunnel(
+        &self,
+        target: &id::Target,
+        address: SocketAddr,
+    ) -> Result<(), Failure> {
+        let (reply, result) = oneshot::channel();
+        self.send(Input::CheckTunnel(target.clone(), address, reply));
+        result.await.unwrap_or(Err(Failure::NoHelper))
+    }
+
     /// Asks for a target. Dropping the future cancels the request.
     pub async fn place(&self, request: PlacementRequest, fingerprint: Fingerprint) -> Decision {
         let (reply, decision) = oneshot::channel();
@@ -205,8 +260,12 @@
     journal: Arc<Journal>,
     peers: peers::Sender,
     handle: Handle,
+    targets: target::Pool,
     host: id::EntryHost,
+    regions: BTreeMap<id::DataCentre, id::Region>,
     balancer: Balancer,
+    /// Whether the host was cut off from targets at the last tick.
+    is_cut_off: bool,
     replies: HashMap<u64, oneshot::Sender<Decision>>,
     quarantine: Quarantine,
     accounts: Accounts,
@@ -228,6 +287,7 @@
         journal: Arc<Journal>,
         peers: peers::Sender,
         handle: Handle,
+        targets: target::Pool,
     ) -> Task {
         let bounds = &settings.bounds;
         let balancer = Balancer::new(Settings {
@@ -252,8 +312,11 @@
             journal,
             peers,
             handle,
+            targets,
             host: settings.name.clone(),
+            regions: settings.regions.clone(),
             balancer,
+            is_cut_off: false,
             replies: HashMap::new(),
             quarantine: Quarantine::default(),
             hosts: Arc::default(),
@@ -306,6 +369,34 @@
         self.send_load(now);
         self.send_limits(now);
         self.send_suspicions(now);
+        self.probe(now);
+    }
+
+    /// Tries the paths that are in doubt, and logs when the host is cut off or no longer.
+    fn probe(&mut self, now: Time) {
+        for Probe { target, address, steps } in self.balancer.due_probes(now) {
+            let steps = self.with_helpers(steps);
+            tokio::spawn(self.targets.clone().probe(address, target, steps));
+        }
+        let is_cut_off = self.balancer.is_cut_off();
+        if std::mem::replace(&mut self.is_cut_off, is_cut_off) != is_cut_off {
+            let event = if is_cut_off { Event::CutOff } else { Event::CutOffEnded };
+            self.journal.note(event, &[]);
+        }
+    }
+
+    fn with_helpers(&self, steps: Vec<steering::Step>) -> Vec<Step> {
+        let with_helper = |steering::Step { path, delay }| {
+            let helper = match &path {
+                Path::Direct => None,
+                Path::Tunnel(host) => self.hosts.get(host).map(|host| Helper {
+                    address: host.peers,
+                    region: self.regions.get(&host.data_centre).cloned(),
+                }),
+            };
+            Step { path, helper, delay }
+        };
+        steps.into_iter().map(with_helper).collect()
     }
 
     fn handle(&mut self, now: Time, input: Input) {
@@ -331,6 +422,18 @@
                 self.balancer.end(now, &ticket, outcome);
                 self.log_limits();
             }
+            Input::Plan(target, homes, reply) => {
+                let steps = self.balancer.plan_connection(now, &target, &homes);
+                // The request may have been dropped.
+                let _ = reply.send(self.with_helpers(steps));
+            }
+            Input::Connected(target, path, result) => {
+                self.balancer.record_connection(now, &target, &path, result);
+            }
+            Input::CheckTunnel(target, address, reply) => {
+                // The other host may have stopped waiting.
+                let _ = reply.send(self.balancer.check_tunnel(&target, address));
+            }
             Input::Announced(ticket, announced) => {
                 self.balancer.record_announced(now, &ticket, announced);
                 self.log_limits();
@@ -339,6 +442,8 @@
                 self.replies.remove(&number);
                 self.balancer.cancel(number);
             }
+            // A host without paths cannot tell a crash from a broken path.
+            Input::Crashed(..) if self.balancer.is_cut_off() => {}
             Input::Crashed(fingerprint, target) => {
                 if self.quarantine.record_failure(now, fingerprint, &target) {
                     self.log_quarantined(fingerprint);
--- a/toucanhoist-edge/src/target.rs
+++ b/toucanhoist-edge/src/target.rs
@@ -1,8 +1,8 @@
 /*!
 A pool of connections to targets.
 
-A connection is reused only after a complete answer with explicit framing, and only while the target has
-not announced that it closes it. A target that sent bytes which belong to no request gets a new connection
+Connections are made directly or through tunnels of other hosts ([`connect`]). A connection is reused only after
+a complete answer with explicit framing, and only while the target has not announced that it closes it. A target that sent bytes which belong to no request gets a new connection
 for each request during `STRAY_TIME`. The answer's request identifier is compared with the request's, so
 that a late or surplus answer is never returned for another request.
 */
@@ -19,22 +19,25 @@
 
 use {
     bytes::{Bytes, BytesMut},
-    http::{HeaderMap, HeaderName, Request, header, response::Parts},
+    http::{HeaderMap, HeaderName, Method, Request, StatusCode, header, response::Parts},
     http_body_util::{BodyExt, Full},
     hyper::{body::Incoming, client::conn::http1},
-    hyper_util::rt::TokioIo,
-    tokio::{
-        net::TcpStream,
-        time::{self, Instant},
-    },
+    tokio::time::{self, Instant},
     toucanhoist_core::{
         id,
         steering::{Announced, Report},
     },
-    toucanhoist_store::socket,
 };
 
-use crate::dialect::Dialect;
+use self::connect::{Connected, Via};
+use crate::{
+    dialect::Dialect,
+    steer::{self, Step},
+};
+
+pub(crate) use self::connect::failure;
+
+mod connect;
 
 /// Time-out for opening a connection; longer than a round trip between regions.
 const CONNECT_MAX: Duration = Duration::from_millis(450);
@@ -50,6 +53,9 @@
 const IDLE_CONNECTIONS_MAX: usize = 16;
 /// Time for which connections to a target that sent stray bytes are not reused.
 const STRAY_TIME: Duration = Duration::from_secs(8);
+/// Time after which a tunnel is not reused, so that requests return to the direct path when it works, and leave
+/// a host that shuts down.
+const TUNNEL_MAX: Duration = Duration::from_secs(2);
 /// Bytes of an answer's body that are buffered before any of it is sent to the caller.
 const BUFFER_BYTES: usize = 256 * 1_024;
 
@@ -69,6 +75,7 @@
     dialect: Arc<Dialect>,
     /// Local address of the connections; `None` leaves the choice to the system.
     local: Option<IpAddr>,
+    steer: steer::Handle,
     state: Mutex<State>,
 }
 
@@ -81,10 +88,33 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
+    /// The host that carries it; `None` for a direct connection.
+    via: Option<Via>,
     since: Instant,
     until: Instant,
 }
 
+impl Idle {
+    /// Whether it may carry an exchange now.
+    fn is_usable(&self, now: Instant, exchange: &Exchange<'_>) -> bool {
+        let is_allowed = match &self.via {
+            None => self.since >= exchange.fresh_after,
+            Some(via) => is_home(exchange.homes, via.region.as_ref()),
+        };
+        let idle_max = if exchange.at_most_once { IDLE_MAX_AT_MOST_ONCE } else { IDLE_MAX };
+        is_allowed && now < self.since + idle_max && self.is_open(now)
+    }
+
+    fn is_open(&self, now: Instant) -> bool {
+        now < self.until && now < self.since + IDLE_MAX && self.connection.is_ready()
+    }
+}
+
+/// Whether a region may handle a request; an empty list allows all.
+fn is_home(homes: &[id::Region], region: Option<&id::Region>) -> bool {
+    homes.is_empty() || region.is_some_and(|region| homes.contains(region))
+}
+
 /// An answer of a target.
 #[derive(Debug)]
 pub struct Answer {
@@ -100,6 +130,8 @@
     pub announced: Announced,
     /// Whether the target states that it did not run the request.
     pub not_run: bool,
+    /// The host through whose tunnel it came.
+    pub via: Option<id::EntryHost>,
 }
 
 /// A request that got no answer.
@@ -132,15 +164,21 @@
     pub request_id: &'a str,
     /// When its caller stops waiting.
     pub deadline: Instant,
+    /// Regions that may handle it; empty for all.
+    pub homes: &'a [id::Region],
+    /// Time since which a kept direct connection must have been in use to be used again.
+    pub fresh_after: Instant,
 }
 
 /// A failed exchange with a target.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Failure {
     /// What went wrong.
     pub error: Error,
     /// Whether the connection was kept from an earlier request.
     pub is_kept: bool,
+    /// The host through whose tunnel the request was sent.
+    pub via: Option<id::EntryHost>,
 }
 
 /// Why a connection could not be made, or ended early.
@@ -156,6 +194,8 @@
     Closed,
     /// The request's deadline passed first.
     DeadlinePassed,
+    /// No host that could be asked has a path to the target.
+    NoPath,
     /// Anything else, such as bytes that are no answer.
     Other,
 }
@@ -169,6 +209,7 @@
             Cause::TimedOut => "timed-out",
             Cause::Closed => "closed",
             Cause::DeadlinePassed => "deadline-passed",
+            Cause::NoPath => "no-path",
             Cause::Other => "other",
         }
     }
@@ -206,9 +247,11 @@
 }
 
 impl Pool {
-    /// Creates an empty pool, whose connections are made from `local` if it is given.
-    pub fn new(dialect: Arc<Dialect>, local: Option<IpAddr>) -> Pool {
-        Pool { shared: Arc::new(Shared { dialect, local, state: Mutex::default() }) }
+    /// Creates an empty pool, whose direct connections are made from `local` if it is given. `steer` decides
+    /// by which paths.
+    pub fn new(dialect: Arc<Dialect>, local: Option<IpAddr>, steer: steer::Handle) -> Pool {
+        let state = Mutex::default();
+        Pool { shared: Arc::new(Shared { dialect, local, steer, state }) }
     }
 
     /// Runs a request on a target. `build` is called for each connection that is tried, as a kept one may
@@ -224,11 +267,14 @@
     ) -> Result<Answer, Failure> {
         let endpoint = (exchange.address, exchange.target.clone());
         loop {
-            let connecting = self.connection(&endpoint, exchange.at_most_once);
-            let overdue =
-                Failure { error: Error::Unreachable(Cause::DeadlinePassed), is_kept: false };
-            let (connection, is_kept) =
-                time::timeout_at(exchange.deadline, connecting).await.unwrap_or(Err(overdue))?;
+            let connecting = self.connection(&endpoint, &exchange);
+            let (connection, is_kept) = match time::timeout_at(exchange.deadline, connecting).await
+            {
+                Ok(Ok(connection)) => connection,
+                Ok(Err(cause)) => return Err(unreachable(cause)),
+                Err(_) => return Err(unreachable(Cause::DeadlinePassed)),
+            };
+            let via = connection.via.as_ref().map(|via| via.host.clone());
             let sending = self.send(&exchange, &endpoint, connection, build());
             let error = match time::timeout_at(exchange.deadline, sending).await {
                 Ok(Ok(Some(answer))) => return Ok(answer),
@@ -237,7 +283,7 @@
                 Ok(Err(error)) => error,
                 Err(_) => Error::Overdue,
             };
-            return Err(Failure { error, is_kept });
+            return Err(Failure { error, is_kept, via });
         }
     }
 
@@ -246,9 +292,11 @@
         &self,
         exchange: &Exchange<'_>,
         endpoint: &Endpoint,
-        mut connection: Connection,
+        connected: Connected,
         request: Request<Full<Bytes>>,
     ) -> Result<Option<Answer>, Error> {
+        let Connected { mut connection, via } = connected;
+        let has_no_body = request.method() == Method::HEAD;
         let answer = match connection.try_send_request(request).await {
             Ok(answer) => answer,
             Err(error) if error.message().is_some() => return Ok(None),
@@ -263,88 +311,92 @@
         let report = head.headers.get(&dialect.load).and_then(|v| parse_load(v.to_str().ok()?));
         let announced = announced(&head.headers, &dialect.limit);
         let not_run = head.headers.contains_key(&dialect.not_run);
+        if via.is_some() && !has_no_body && ends_with_connection(&head) {
+            return Err(Error::Broken(Cause::Closed));
+        }
         let until = reusable_until(&head.headers);
         let (first, rest) = read(body).await?;
+        let host = via.as_ref().map(|via| via.host.clone());
         if rest.is_none() {
             if let Some(until) = until {
-                self.put_back(endpoint.clone(), connection, until);
+                self.put_back(endpoint.clone(), Connected { connection, via }, until);
             }
         }
-        Ok(Some(Answer { head, first, rest, report, announced, not_run }))
+        Ok(Some(Answer { head, first, rest, report, announced, not_run, via: host }))
     }
 
-    /// Whether an address accepts connections.
-    pub async fn is_listening(&self, address: SocketAddr) -> bool {
-        self.connect(address).await.is_ok()
-    }
-
-    async fn connect(&self, address: SocketAddr) -> io::Result<TcpStream> {
-        socket::connect_from(self.shared.local, address, CONNECT_MAX).await
+    /// Tries the paths of a plan, and keeps the connection.
+    pub async fn probe(self, address: SocketAddr, target: id::Target, plan: Vec<Step>) {
+        let endpoint = (address, target);
+        if let Ok(connected) = self.connect_by(&endpoint, plan).await {
+            self.put_back(endpoint, connected, Instant::now() + IDLE_MAX);
+        }
     }
 
     /// Returns a connection, and whether it was kept from an earlier request.
     async fn connection(
         &self,
         endpoint: &Endpoint,
-        at_most_once: bool,
-    ) -> Result<(Connection, bool), Failure> {
-        if let Some(idle) = self.take_idle(endpoint, at_most_once) {
+        exchange: &Exchange<'_>,
+    ) -> Result<(Connected, bool), Cause> {
+        if let Some(idle) = self.take_idle(endpoint, exchange) {
             return Ok((idle, true));
         }
-        let stream = self.connect(endpoint.0).await;
-        count_connect(stream.as_ref().err());
-        let unreachable = |cause| Failure { error: Error::Unreachable(cause), is_kept: false };
-        let stream = stream.map_err(|error| unreachable(Cause::from(&error)))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| unreachable(Cause::from(error)))?;
-        let (pool, endpoint) = (self.clone(), endpoint.clone());
-        tokio::spawn(async move {
-            // Bytes that belong to no request end the connection with one of these errors.
-            if connection.await.is_err_and(|error| error.is_parse() || is_unexpected(&error)) {
-                pool.record_stray(&endpoint);
-            }
-        });
-        Ok((sender, false))
+        let plan = self.shared.steer.plan(&endpoint.1, exchange.homes).await;
+        let connected = self.connect_by(endpoint, plan).await;
+        connected.map(|connected| (connected, false)).map_err(|failed| failed.cause())
     }
 
-    fn take_idle(&self, endpoint: &Endpoint, at_most_once: bool) -> Option<Connection> {
+    fn take_idle(&self, endpoint: &Endpoint, exchange: &Exchange<'_>) -> Option<Connected> {
         let now = Instant::now();
-        let idle_max = if at_most_once { IDLE_MAX_AT_MOST_ONCE } else { IDLE_MAX };
         let mut state = self.shared.state.lock().expect("no holder of the lock panics");
         let idle = state.idle.get_mut(endpoint)?;
-        while let Some(found) = idle.pop() {
-            let is_usable = now < found.until && found.connection.is_ready();
-            if is_usable && now < found.since + idle_max {
-                return Some(found.connection);
-            }
-            if is_usable && now < found.since + IDLE_MAX {
-                // The connections below it on the stack have been idle for longer.
-                idle.push(found);
-                return None;
-            }
-        }
-        None
+        idle.retain(|found| found.is_open(now));
+        // The last one has been idle for the shortest time.
+        let index = idle.iter().rposition(|found| found.is_usable(now, exchange))?;
+        let Idle { connection, via, .. } = idle.remove(index);
+        Some(Connected { connection, via })
     }
 
-    fn put_back(&self, endpoint: Endpoint, mut connection: Connection, until: Instant) {
-        let shared = Arc::clone(&self.shared);
+    fn put_back(&self, endpoint: Endpoint, connected: Connected, until: Instant) {
+        let pool = self.clone();
         tokio::spawn(async move {
+            let Connected { mut connection, via } = connected;
             if connection.ready().await.is_err() {
                 return;
             }
-            let now = Instant::now();
-            let mut state = shared.state.lock().expect("no holder of the lock panics");
-            if state.stray_until.get(&endpoint).is_some_and(|&until| now < until) {
-                return;
-            }
-            let idle = state.idle.entry(endpoint).or_default();
-            if idle.len() < IDLE_CONNECTIONS_MAX {
-                idle.push(Idle { connection, since: now, until });
+            let since = Instant::now();
+            let is_tunnel = via.is_some();
+            let until = if is_tunnel { until.min(since + TUNNEL_MAX) } else { until };
+            if pool.keep(&endpoint, Idle { connection, via, since, until }) && is_tunnel {
+                // The host at its end holds descriptors for it.
+                time::sleep_until(until).await;
+                pool.drop_closed(&endpoint);
             }
         });
     }
 
+    /// Keeps a connection for later requests; returns whether there was room for it.
+    fn keep(&self, endpoint: &Endpoint, connection: Idle) -> bool {
+        let mut state = self.shared.state.lock().expect("no holder of the lock panics");
+        let is_stray =
+            state.stray_until.get(endpoint).is_some_and(|&until| connection.since < until);
+        let idle = state.idle.entry(endpoint.clone()).or_default();
+        let is_kept = !is_stray && idle.len() < IDLE_CONNECTIONS_MAX;
+        if is_kept {
+            idle.push(connection);
+        }
+        is_kept
+    }
+
+    fn drop_closed(&self, endpoint: &Endpoint) {
+        let now = Instant::now();
+        let mut state = self.shared.state.lock().expect("no holder of the lock panics");
+        if let Some(idle) = state.idle.get_mut(endpoint) {
+            idle.retain(|found| found.is_open(now));
+        }
+    }
+
     fn record_stray(&self, endpoint: &Endpoint) {
         metrics::counter!("toucanhoist_stray_answers_total").increment(1);
         let mut state = self.shared.state.lock().expect("no holder of the lock panics");
@@ -367,10 +419,19 @@
     Ok((first.freeze(), None))
 }
 
-/// Counts an attempt to connect to a target.
-fn count_connect(error: Option<&io::Error>) {
-    let outcome = error.map_or("connected", |error| Cause::from(error).as_str());
-    metrics::counter!("toucanhoist_target_connects_total", "outcome" => outcome).increment(1);
+fn unreachable(cause: Cause) -> Failure {
+    Failure { error: Error::Unreachable(cause), is_kept: false, via: None }
+}
+
+/// Whether an answer's body ends with the connection. Through a tunnel its end may as well be that of the
+/// host in between.
+fn ends_with_connection(head: &Parts) -> bool {
+    let has_body = !matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    has_body && !is_framed(&head.headers)
+}
+
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
 /// Returns the time until which the connection of an answer may be reused; `None` if it may not be.
@@ -379,9 +440,7 @@
         headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok()).any(
             |value| value.split(',').any(|option| option.trim().eq_ignore_ascii_case("close")),
         );
-    let is_framed = headers.contains_key(header::CONTENT_LENGTH)
-        || headers.contains_key(header::TRANSFER_ENCODING);
-    if closes || !is_framed {
+    if closes || !is_framed(headers) {
         return None;
     }
     let announced = headers
