Refuse a request as not run if its deadline passes before a connection is made

Cause: the deadline covered connecting and the exchange together.

Evidence: `a_request_that_was_never_sent_is_refused_as_not_run_at_its_deadline` got 504 before, 503 now. A request of which an earlier attempt may have run still gets `may-have-run`.

--- a/toucanhoist-edge/src/gateway/attempt.rs
+++ b/toucanhoist-edge/src/gateway/attempt.rs
@@ -174,7 +174,12 @@
     let is_tunnelled = lease.ticket().via.is_some();
     match outcome.map_err(|failure| failure.error) {
         Ok(answer) => handle_answer(shared, request, lease, answer, sent, attempts),
-        Err(target::Error::Overdue | target::Error::Unreachable(Cause::DeadlinePassed)) => {
+        Err(target::Error::Unreachable(Cause::DeadlinePassed)) => {
+            lease.end(Outcome::Unsent);
+            let detail = format!("no connection to target {} before the deadline", ticket.target);
+            Next::Refuse(Refusal::not_run(Code::NoRoom, detail).retry_after(SHED_RETRY_AFTER))
+        }
+        Err(target::Error::Overdue) => {
             lease.end(Outcome::Unanswered);
             attempts.may_have_run = true;
             Next::Refuse(Refusal::may_have_run(
