--- a/toucanhoist-store/src/socket.rs
+++ b/toucanhoist-store/src/socket.rs
@@ -14,11 +14,14 @@
     },
 };
 
-/// Time after which a connection is closed if sent data stays unacknowledged.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Idle time before the first keepalive probe, and time between probes.
+/// Idle time before the first keepalive probe, and time between probes; the system counts them in
+/// whole seconds.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-const KEEPALIVE_RETRIES: u32 = 2;
+/// Probes without an answer after which a connection is closed.
+const KEEPALIVE_RETRIES: u32 = 1;
+/// Time after which a connection is closed if sent data stays unacknowledged. It also decides when
+/// keepalive probes give up, whatever their number, so the two agree.
+const USER_TIMEOUT: Duration = KEEPALIVE_INTERVAL.saturating_mul(1 + KEEPALIVE_RETRIES);
 
 /// Binds a listener. An error names the address.
 ///
