Name reports of limits by the field's terms

Statements are received, recorded, reported and confirmed; nothing is heard, and there are no news or rumours. Names and comments only; names on the wire, in logs and metrics are unchanged, and so is behaviour.

--- a/toucanhoist-core/src/steering/balancer.rs
+++ b/toucanhoist-core/src/steering/balancer.rs
@@ -281,8 +281,8 @@
             service.end(now, &mut self.paths, ticket, outcome);
         }
         match outcome {
-            Outcome::Answered { announced, .. } => self.hear(now, ticket, announced, true),
-            Outcome::Shed { announced, .. } => self.hear(now, ticket, announced, false),
+            Outcome::Answered { announced, .. } => self.record_limit(now, ticket, announced, true),
+            Outcome::Shed { announced, .. } => self.record_limit(now, ticket, announced, false),
             _ => {}
         }
     }
@@ -358,12 +358,12 @@
 
     /// Records what an answer announces whose body has not ended yet.
     pub fn record_announced(&mut self, now: Time, ticket: &Ticket, announced: Announced) {
-        self.hear(now, ticket, announced, true);
+        self.record_limit(now, ticket, announced, true);
     }
 
     /// Records what an answer announces; `ran` says whether the target ran the request.
-    fn hear(&mut self, now: Time, ticket: &Ticket, announced: Announced, ran: bool) {
-        if self.limits.hear(now, ticket, announced, ran) {
+    fn record_limit(&mut self, now: Time, ticket: &Ticket, announced: Announced, ran: bool) {
+        if self.limits.record(now, ticket, announced, ran) {
             self.apply_limit(now, &ticket.target);
         }
     }
@@ -392,9 +392,9 @@
         self.limits.due_reports(now, &others, |target| self.targets.contains_key(target))
     }
 
-    /// Whether other hosts should be told of limits at once.
-    pub fn has_limit_news(&self) -> bool {
-        self.limits.has_news()
+    /// Whether limits should be reported to other hosts at once.
+    pub fn has_unsent_limits(&self) -> bool {
+        self.limits.has_unsent()
     }
 
     /// Returns the limits that this host has learned of since the last call.
--- a/toucanhoist-core/src/steering/balancer/tracked_target.rs
+++ b/toucanhoist-core/src/steering/balancer/tracked_target.rs
@@ -64,7 +64,7 @@
     /// What is known of its limit.
     statement: Option<Statement>,
     /// When an answer last named the limit.
-    limit_heard: Time,
+    limit_confirmed_at: Time,
     /// Requests that this host may send it, while it has a limit.
     turns: Option<Turns>,
 }
@@ -90,7 +90,7 @@
             cold_share: 0,
             misdirected: false,
             statement: None,
-            limit_heard: Time::ZERO,
+            limit_confirmed_at: Time::ZERO,
             turns: None,
         }
     }
@@ -167,7 +167,7 @@
             + FAILURE_COST_S * load.failing
     }
 
-    /// Sets what is known of its limit, and when that was last heard.
+    /// Sets what is known of its limit, and when that was last confirmed.
     pub(super) fn set_limit(
         &mut self,
         now: Time,
@@ -175,7 +175,7 @@
         known: Option<(Statement, Time)>,
     ) {
         let statement = known.map(|(statement, _)| statement);
-        self.limit_heard = known.map_or(Time::ZERO, |(_, heard)| heard);
+        self.limit_confirmed_at = known.map_or(Time::ZERO, |(_, confirmed_at)| confirmed_at);
         if std::mem::replace(&mut self.statement, statement) != statement {
             self.set_limit_place(now, topology);
         }
@@ -207,7 +207,7 @@
     /// Returns when its limit next allows a request of this host.
     pub(super) fn turn(&mut self, now: Time) -> Turn {
         let Some(turns) = &mut self.turns else { return Turn::Now };
-        match turns.wait(now, self.limit_heard) {
+        match turns.wait(now, self.limit_confirmed_at) {
             Some(wait) if wait.is_zero() => Turn::Now,
             Some(wait) => Turn::After { wait, rate_per_s: turns.rate_per_s() },
             None => Turn::Never,
@@ -220,7 +220,7 @@
             self.cold_limit.send(now);
         }
         if let Some(turns) = &mut self.turns {
-            turns.send(now, self.limit_heard);
+            turns.send(now, self.limit_confirmed_at);
         }
         self.load.send();
     }
--- a/toucanhoist-core/src/steering/connectivity.rs
+++ b/toucanhoist-core/src/steering/connectivity.rs
@@ -54,8 +54,7 @@
     /// stopped in between, the store was unavailable to all hosts, and counts as available again
     /// from now on.
     fn record_availability(&mut self, now: Time) -> Time {
-        let is_interrupted =
-            self.last_heartbeat.is_some_and(|heard| now >= heard + HEARTBEAT_TIMEOUT);
+        let is_interrupted = self.last_heartbeat.is_some_and(|at| now >= at + HEARTBEAT_TIMEOUT);
         let available_since = self.available_since.filter(|_| !is_interrupted).unwrap_or(now);
         self.available_since = Some(available_since);
         available_since
--- a/toucanhoist-core/src/steering/limit/knowledge.rs
+++ b/toucanhoist-core/src/steering/limit/knowledge.rs
@@ -1,9 +1,9 @@
 //! What one host knows of the limits of all targets, and what it tells other hosts.
 //!
-//! News spread as rumours: a host that learns of a statement tells it to a few others, who do the
-//! same. In addition each host tells all limits to another host at intervals, which reaches those
-//! that missed the news or were restarted. The messages of a host do not grow with the number of
-//! hosts.
+//! Statements spread by gossip: a host that learns of one reports it to a few others, who do the
+//! same. In addition each host reports all limits to another host at intervals, which reaches those
+//! that missed the first reports or were restarted. The messages of a host do not grow with the
+//! number of hosts.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -20,12 +20,12 @@
     unit::Rate,
 };
 
-/// Hosts that are told of a new statement each time.
+/// Hosts to which a new statement is reported each time.
 const FANOUT: usize = 8;
-/// Number of times that news are told, since a datagram may be lost.
+/// Number of times that a new statement is reported, since a datagram may be lost.
 const TRANSMISSIONS: u32 = 2;
 const TRANSMISSION_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval at which all limits are told to another host.
+/// Interval at which all limits are reported to another host.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
 /// Reports in one message.
 const REPORTS_MAX: usize = 32;
@@ -72,15 +72,15 @@
     statements: BTreeMap<id::Target, Known>,
     refreshed_at: Time,
     learned: Vec<Learned>,
-    /// Whether news wait to be told for the first time.
-    has_news: bool,
+    /// Whether statements have not been reported yet.
+    has_unsent: bool,
 }
 
 #[derive(Debug)]
 struct Known {
     statement: Statement,
     /// When an answer of the target last said so to any host.
-    heard: Time,
+    confirmed_at: Time,
     /// When the limit had ended, or the target was first missing.
     obsolete_since: Option<Time>,
     transmissions_left: u32,
@@ -89,22 +89,22 @@
 }
 
 impl Knowledge {
-    /// Creates the knowledge of a host that has heard nothing.
+    /// Creates empty knowledge.
     pub fn new(seed: u64) -> Knowledge {
         Knowledge {
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             statements: BTreeMap::new(),
             refreshed_at: Time::ZERO,
             learned: Vec::new(),
-            has_news: false,
+            has_unsent: false,
         }
     }
 
     /// Returns the statement of the incarnation of a target that was born at `born`, and when it
-    /// was last heard.
+    /// was last confirmed.
     pub fn get(&self, target: &id::Target, born: u64) -> Option<(Statement, Time)> {
         let known = self.statements.get(target)?;
-        (known.statement.born >= born).then_some((known.statement, known.heard))
+        (known.statement.born >= born).then_some((known.statement, known.confirmed_at))
     }
 
     /// Whether nothing is known of any target.
@@ -120,7 +120,7 @@
     /// Records an answer to the request of a ticket; returns whether this adds to the knowledge.
     /// `ran` says whether the target ran the request: an answer without a limit to one that it did
     /// not run says nothing.
-    pub fn hear(&mut self, now: Time, ticket: &Ticket, announced: Announced, ran: bool) -> bool {
+    pub fn record(&mut self, now: Time, ticket: &Ticket, announced: Announced, ran: bool) -> bool {
         let Ticket { target, born, .. } = ticket;
         let born = *born;
         let limit = match announced {
@@ -132,7 +132,7 @@
         let (current_version, current_limit) = match current {
             Some(known) if known.statement.born > born => return false,
             Some(known) if known.statement.limit == limit => {
-                known.heard = now;
+                known.confirmed_at = now;
                 return true;
             }
             Some(known) => (known.statement.version, known.statement.limit),
@@ -152,15 +152,15 @@
     pub fn merge(&mut self, now: Time, reports: Vec<Report>) -> Vec<id::Target> {
         let mut added = Vec::new();
         for Report { target, statement, age } in reports {
-            let heard = now - age;
+            let confirmed_at = now - age;
             let is_added = match self.statements.get_mut(&target) {
                 Some(known) if known.statement == statement => {
-                    let is_later = heard > known.heard;
-                    known.heard = known.heard.max(heard);
+                    let is_later = confirmed_at > known.confirmed_at;
+                    known.confirmed_at = known.confirmed_at.max(confirmed_at);
                     is_later
                 }
                 Some(known) if !statement.supersedes(&known.statement) => false,
-                _ => self.learn(now, &target, statement, heard, Source::Host),
+                _ => self.learn(now, &target, statement, confirmed_at, Source::Host),
             };
             if is_added {
                 added.push(target);
@@ -174,7 +174,7 @@
         now: Time,
         target: &id::Target,
         statement: Statement,
-        heard: Time,
+        confirmed_at: Time,
         source: Source,
     ) -> bool {
         let former = self.statements.get(target);
@@ -188,14 +188,14 @@
         }
         let known = Known {
             statement,
-            heard,
+            confirmed_at,
             obsolete_since: None,
             transmissions_left: TRANSMISSIONS,
             last_sent: Time::ZERO,
             last_refreshed: now,
         };
         self.statements.insert(target.clone(), known);
-        self.has_news = true;
+        self.has_unsent = true;
         true
     }
 
@@ -204,9 +204,9 @@
         std::mem::take(&mut self.learned)
     }
 
-    /// Whether news wait to be told for the first time.
-    pub fn has_news(&self) -> bool {
-        self.has_news
+    /// Whether statements have not been reported yet.
+    pub fn has_unsent(&self) -> bool {
+        self.has_unsent
     }
 
     /// Returns the reports that are due, by the host that they are for; `others` are the other
@@ -218,10 +218,10 @@
         is_target: impl Fn(&id::Target) -> bool,
     ) -> BTreeMap<id::EntryHost, Vec<Report>> {
         let mut due = BTreeMap::new();
-        self.has_news = false;
-        let news = self.due_news(now);
-        for host in others.sample(&mut self.rng, FANOUT).filter(|_| !news.is_empty()) {
-            due.insert((*host).clone(), news.clone());
+        self.has_unsent = false;
+        let reports = self.due_new_reports(now);
+        for host in others.sample(&mut self.rng, FANOUT).filter(|_| !reports.is_empty()) {
+            due.insert((*host).clone(), reports.clone());
         }
         if now >= self.refreshed_at + REFRESH_INTERVAL {
             self.refreshed_at = now;
@@ -234,8 +234,8 @@
         due
     }
 
-    /// Returns reports of statements that are to be told to several hosts.
-    fn due_news(&mut self, now: Time) -> Vec<Report> {
+    /// Returns reports of new statements, for several hosts.
+    fn due_new_reports(&mut self, now: Time) -> Vec<Report> {
         let is_due = |known: &Known| {
             known.transmissions_left > 0 && now >= known.last_sent + TRANSMISSION_INTERVAL
         };
@@ -276,6 +276,6 @@
 impl Known {
     fn report(&self, now: Time, target: &id::Target) -> Report {
         let (target, statement) = (target.clone(), self.statement);
-        Report { target, statement, age: now.since(self.heard) }
+        Report { target, statement, age: now.since(self.confirmed_at) }
     }
 }
--- a/toucanhoist-core/src/steering/limit/statement.rs
+++ b/toucanhoist-core/src/steering/limit/statement.rs
@@ -17,7 +17,7 @@
 
 impl Statement {
     /// Whether this statement replaces another one of the same target. Of two with the same
-    /// version, which different hosts heard at the same time, the stricter one counts.
+    /// version, which different hosts received at the same time, the stricter one counts.
     pub fn supersedes(&self, other: &Statement) -> bool {
         match (self.born, self.version).cmp(&(other.born, other.version)) {
             std::cmp::Ordering::Less => false,
@@ -36,7 +36,7 @@
     }
 }
 
-/// A statement as one host tells it to another.
+/// A statement as one host reports it to another.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Report {
     /// The target.
--- a/toucanhoist-core/src/steering/limit/turns.rs
+++ b/toucanhoist-core/src/steering/limit/turns.rs
@@ -71,9 +71,9 @@
     }
 
     /// Returns the time until the host may send a request, zero if it may do so now; `None` if it
-    /// holds no part of the rate and is not next to ask. `heard` is when an answer of the target
+    /// holds no part of the rate and is not next to ask. `confirmed_at` is when an answer of the target
     /// last named the limit.
-    pub fn wait(&mut self, now: Time, heard: Time) -> Option<Duration> {
+    pub fn wait(&mut self, now: Time, confirmed_at: Time) -> Option<Duration> {
         if self.place.position < self.holders {
             let missing = 1.0 - self.bucket.level(now);
             if missing <= 0.0 {
@@ -83,14 +83,14 @@
             let wait = Duration::from_secs_f64(missing / self.bucket.rate_per_s());
             return Some(wait.max(Duration::from_micros(1)));
         }
-        let probe = self.probe(now, heard)?;
+        let probe = self.probe(now, confirmed_at)?;
         (self.last_probe != Some(probe)).then_some(Duration::ZERO)
     }
 
     /// Counts a request that is sent.
-    pub fn send(&mut self, now: Time, heard: Time) {
+    pub fn send(&mut self, now: Time, confirmed_at: Time) {
         if self.bucket.take(now).is_err() {
-            self.last_probe = self.probe(now, heard);
+            self.last_probe = self.probe(now, confirmed_at);
         }
     }
 
@@ -101,11 +101,11 @@
 
     /// Returns the interval of the silence in which this host, which holds no part of the rate, may
     /// send one request; `None` if another host may.
-    fn probe(&self, now: Time, heard: Time) -> Option<(Time, u64)> {
+    fn probe(&self, now: Time, confirmed_at: Time) -> Option<(Time, u64)> {
         let interval = SILENCE_MIN.max(Duration::from_secs_f64(1.0 / self.rate));
-        let number = (now.since(heard).as_secs_f64() / interval.as_secs_f64()) as u64;
+        let number = (now.since(confirmed_at).as_secs_f64() / interval.as_secs_f64()) as u64;
         let others = self.place.hosts.saturating_sub(self.holders).max(1) as u64;
         let next = self.holders as u64 + number.checked_sub(1)? % others;
-        (self.place.position as u64 == next).then_some((heard, number))
+        (self.place.position as u64 == next).then_some((confirmed_at, number))
     }
 }
--- a/toucanhoist-core/src/steering/relay.rs
+++ b/toucanhoist-core/src/steering/relay.rs
@@ -4,9 +4,9 @@
 //! watchers of each region follow the store: the first live members by rank. They send each change
 //! to the other hosts of the region, and a heartbeat with the versions that they know at short
 //! intervals. Hosts rank by the capacity of their machines, since a watcher sends each change many
-//! times over its link, and by rendezvous hashing among equals. When too few watchers connected to
-//! the store are heard, further hosts take over in rank order, one after another; a host that
-//! receives heartbeats from enough hosts of higher rank stays passive. So two hosts relay changes
+//! times over its link, and by rendezvous hashing among equals. When heartbeats come
+//! from too few watchers, further hosts take over in rank order, one after another; a host that
+//! receives them from enough hosts of higher rank stays passive. So two hosts relay changes
 //! even if others are rejected by the store, cut off or slow.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
@@ -113,7 +113,7 @@
 
     /// Records the heartbeat of a host that is connected to the store.
     pub fn record_heartbeat(&mut self, now: Time, from: SocketAddr) {
-        self.last_heartbeats.retain(|_, heard| now < *heard + HEARTBEAT_RETENTION);
+        self.last_heartbeats.retain(|_, received_at| now < *received_at + HEARTBEAT_RETENTION);
         self.last_heartbeats.insert(from, now);
     }
 
@@ -128,7 +128,7 @@
         }
     }
 
-    /// Returns when enough hosts ranked above `rank` were last heard.
+    /// Returns when enough hosts ranked above `rank` last sent a heartbeat.
     fn covered_until(&self, rank: usize) -> Time {
         // A host that is not known yet counts as ranked above this one.
         let ranks_higher = |from: &SocketAddr| {
@@ -136,7 +136,7 @@
             other_rank.is_none_or(|other_rank| other_rank < rank)
         };
         let from_higher = self.last_heartbeats.iter().filter(|(from, _)| ranks_higher(from));
-        let mut heartbeats: Vec<Time> = from_higher.map(|(_, heard)| *heard).collect();
+        let mut heartbeats: Vec<Time> = from_higher.map(|(_, received_at)| *received_at).collect();
         heartbeats.sort_unstable();
         heartbeats.iter().rev().nth(WATCHERS - 1).copied().unwrap_or(self.started)
     }
--- a/toucanhoist-core/tests/steering/deferral.rs
+++ b/toucanhoist-core/tests/steering/deferral.rs
@@ -74,10 +74,10 @@
 #[test]
 fn applied_removals_are_sent_with_all_changes_until_then() {
     let (mut host, changes) = deferring_host();
-    let (mut hears_all, mut hears_last) = (registry(), registry());
-    hears_all.apply_peer_changes(&changes);
+    let (mut receives_all, mut receives_last) = (registry(), registry());
+    receives_all.apply_peer_changes(&changes);
     let (_, changes) = host.apply_deferred_removals().expect("a removal");
-    for host in [&mut hears_all, &mut hears_last] {
+    for host in [&mut receives_all, &mut receives_last] {
         host.apply_peer_changes(&changes);
         assert!(host.value(&key("t1")).is_none());
         assert!(host.value(&key("t4")).is_some());
--- a/toucanhoist-core/tests/steering/target_limit.rs
+++ b/toucanhoist-core/tests/steering/target_limit.rs
@@ -160,7 +160,7 @@
                     let decided = self.hosts[number].poll(at(self.now));
                     self.deliver(number, decided);
                 }
-                if is_tick || self.hosts[number].has_limit_news() {
+                if is_tick || self.hosts[number].has_unsent_limits() {
                     self.send_reports(number);
                 }
             }
--- a/toucanhoist-core/tests/steering/turns.rs
+++ b/toucanhoist-core/tests/steering/turns.rs
@@ -18,11 +18,11 @@
 }
 
 /// Returns how many requests a host may send from a time on, at most 1,000.
-fn burst(turns: &mut Turns, now: Time, heard: Time) -> usize {
+fn burst(turns: &mut Turns, now: Time, confirmed_at: Time) -> usize {
     let sent = (0..1_000).take_while(|_| {
-        let is_allowed = turns.wait(now, heard) == Some(Duration::ZERO);
+        let is_allowed = turns.wait(now, confirmed_at) == Some(Duration::ZERO);
         if is_allowed {
-            turns.send(now, heard);
+            turns.send(now, confirmed_at);
         }
         is_allowed
     });
--- a/toucanhoist-edge/src/steer.rs
+++ b/toucanhoist-edge/src/steer.rs
@@ -355,7 +355,7 @@
             } else {
                 let placements = self.balancer.poll_freed(now);
                 self.deliver(placements);
-                if self.balancer.has_limit_news() {
+                if self.balancer.has_unsent_limits() {
                     self.send_limits(now);
                 }
             }
