--- a/toucanhoist-core/tests/steering/limit_statements.rs
+++ b/toucanhoist-core/tests/steering/limit_statements.rs
@@ -10,7 +10,7 @@
     },
 };
 
-use crate::support::{at, balancer, place, request, target_id};
+use crate::support::{at, balancer, hosts, place, request, target_id};
 
 fn rate(per_second: f64) -> Rate {
     Rate::per_second(per_second)
@@ -90,6 +90,51 @@
     assert_eq!(send(&mut balancer, 300).limit, None);
 }
 
+/// Runs what a host does at intervals.
+fn process(balancer: &mut Balancer, from: u64, to: u64) {
+    for millis in (from..to).step_by(100) {
+        balancer.due_limit_reports(at(millis));
+    }
+}
+
+#[test]
+fn a_report_that_is_half_a_minute_late_does_not_bring_back_a_limit() {
+    let mut balancer = balancer(&[("t1", "n1", 4)]);
+    let limited = report(said(1, 1, Some(2.0)));
+    balancer.merge_limits(at(0), vec![limited.clone()]);
+    balancer.merge_limits(at(100), vec![report(said(1, 2, None))]);
+    process(&mut balancer, 100, 30_000);
+    balancer.merge_limits(at(30_000), vec![limited]);
+    assert_eq!(send(&mut balancer, 30_100).limit, None);
+}
+
+#[test]
+fn a_limit_is_kept_while_the_entry_of_its_target_is_missing() {
+    let mut balancer = balancer(&[("t1", "n1", 4)]);
+    balancer.merge_limits(at(0), vec![report(said(1, 1, Some(2.0)))]);
+    balancer.set_target(at(100), &target_id("t1"), None);
+    process(&mut balancer, 100, 30_000);
+    let entry = crate::support::target("n1", 4);
+    balancer.set_target(at(30_000), &target_id("t1"), Some(&entry));
+    assert_eq!(send(&mut balancer, 40_000).limit, Some(rate(2.0)));
+}
+
+/// The first reports of a statement are lost, and the target answers the other host only.
+#[test]
+fn a_host_that_missed_the_first_reports_is_told_of_a_limit() {
+    let mut told = balancer(&[("t1", "n1", 4)]);
+    let mut missed = balancer(&[("t1", "n1", 4)]);
+    told.set_hosts(at(0), hosts(&[("h1", "n1"), ("h2", "n1")]));
+    told.merge_limits(at(0), vec![report(said(1, 1, Some(2.0)))]);
+    process(&mut told, 0, 5_000);
+    for millis in (5_000..6_000).step_by(100) {
+        for reports in told.due_limit_reports(at(millis)).into_values() {
+            missed.merge_limits(at(millis), reports);
+        }
+    }
+    assert_eq!(missed.limited_targets(), 1);
+}
+
 #[test]
 fn a_report_about_an_earlier_incarnation_is_not_applied() {
     let mut balancer = balancer(&[("t1", "n1", 4)]);
