Ignore reports of limits with a version that leaves no later ones

A datagram with the largest possible version of a statement would have ended the order of statements for its target: the next one overflows. Hosts number statements from one, so a report beyond 2^48 is malformed and is ignored.

`a_report_with_the_largest_version_does_not_end_the_order_of_statements` fails without the check (trial on a scratch copy).

--- a/toucanhoist-core/src/steering/limit/knowledge.rs
+++ b/toucanhoist-core/src/steering/limit/knowledge.rs
@@ -32,6 +32,9 @@
 /// Time for which a statement is kept after its limit has ended or its target is gone; longer than
 /// a message is in transit and than a target is missing after an outage of the store.
 const RETENTION: Duration = Duration::from_secs(60);
+/// Highest version that is accepted from another host. A higher one is malformed, and would leave no
+/// versions for later statements of its target.
+const VERSION_MAX: u64 = 1 << 48;
 /// Targets about which statements are kept; more than a host has.
 const STATEMENTS_MAX: usize = 8_192;
 
@@ -151,6 +154,7 @@
     /// knowledge.
     pub fn merge(&mut self, now: Time, reports: Vec<Report>) -> Vec<id::Target> {
         let mut added = Vec::new();
+        let reports = reports.into_iter().filter(|report| report.statement.version <= VERSION_MAX);
         for Report { target, statement, age } in reports {
             let confirmed_at = now - age;
             let is_added = match self.statements.get_mut(&target) {
--- a/toucanhoist-core/tests/steering/limit_statements.rs
+++ b/toucanhoist-core/tests/steering/limit_statements.rs
@@ -135,6 +135,17 @@
     assert_eq!(missed.limited_targets(), 1);
 }
 
+#[test]
+fn a_report_with_the_largest_version_does_not_end_the_order_of_statements() {
+    let mut balancer = balancer(&[("t1", "n1", 4)]);
+    balancer.merge_limits(at(0), vec![report(said(1, u64::MAX, Some(2.0)))]);
+    balancer.merge_limits(at(100), vec![report(said(1, 1, Some(3.0)))]);
+    let ticket = send(&mut balancer, 20_000);
+    assert_eq!(ticket.limit, Some(rate(3.0)));
+    end(&mut balancer, 20_200, &ticket, Announced::Unlimited);
+    assert_eq!(send(&mut balancer, 40_000).limit, None);
+}
+
 #[test]
 fn a_report_about_an_earlier_incarnation_is_not_applied() {
     let mut balancer = balancer(&[("t1", "n1", 4)]);
