Let the end of a long answer say nothing of its target's limit

For an answer larger than the buffer, `edge` recorded the limit that it names at its head and again at the end of its body. If the target withdrew the limit in between, the old one came back until the next answer, as a stricter statement counts whenever it arrives. The end of the body now says `Recorded`.

`the_end_of_a_long_answer_does_not_bring_back_a_limit_that_ended_meanwhile` covers the core. That `edge` passes the new value is seen by reading only.

--- a/toucanhoist-core/src/steering/announced.rs
+++ b/toucanhoist-core/src/steering/announced.rs
@@ -15,6 +15,8 @@
     Limit(Rate),
     /// It names something that is not a rate.
     Unreadable,
+    /// What it names was recorded when its head arrived. At the end of its body that may be outdated.
+    Recorded,
 }
 
 impl Announced {
@@ -34,6 +36,7 @@
             Announced::Unlimited => f.write_str("none"),
             Announced::Limit(rate) => rate.fmt(f),
             Announced::Unreadable => f.write_str("unreadable"),
+            Announced::Recorded => f.write_str("recorded"),
         }
     }
 }
--- a/toucanhoist-core/src/steering/limit/knowledge.rs
+++ b/toucanhoist-core/src/steering/limit/knowledge.rs
@@ -129,7 +129,7 @@
         let limit = match announced {
             Announced::Limit(limit) => Some(limit),
             Announced::Unlimited if ran => None,
-            Announced::Unlimited | Announced::Unreadable => return false,
+            Announced::Unlimited | Announced::Unreadable | Announced::Recorded => return false,
         };
         let current = self.statements.get_mut(target).filter(|known| known.statement.born >= born);
         let (current_version, current_limit) = match current {
--- a/toucanhoist-core/tests/steering/limit_statements.rs
+++ b/toucanhoist-core/tests/steering/limit_statements.rs
@@ -66,7 +66,7 @@
     end(&mut balancer, 20_200, &later, announced);
     let expected = match announced {
         Announced::Limit(limit) => Some(limit),
-        Announced::Unlimited | Announced::Unreadable => None,
+        Announced::Unlimited | Announced::Unreadable | Announced::Recorded => None,
     };
     assert_eq!(send(&mut balancer, 40_000).limit, expected, "it answers a later request");
 }
@@ -135,6 +135,17 @@
     assert_eq!(missed.limited_targets(), 1);
 }
 
+#[test]
+fn the_end_of_a_long_answer_does_not_bring_back_a_limit_that_ended_meanwhile() {
+    let mut balancer = balancer(&[("t1", "n1", 4)]);
+    let long = send(&mut balancer, 0);
+    balancer.record_announced(at(200), &long, Announced::Limit(rate(2.0)));
+    let later = send(&mut balancer, 20_000);
+    end(&mut balancer, 20_200, &later, Announced::Unlimited);
+    end(&mut balancer, 30_000, &long, Announced::Recorded);
+    assert_eq!(send(&mut balancer, 40_000).limit, None);
+}
+
 #[test]
 fn a_report_with_the_largest_version_does_not_end_the_order_of_statements() {
     let mut balancer = balancer(&[("t1", "n1", 4)]);
--- a/toucanhoist-edge/src/gateway/attempt.rs
+++ b/toucanhoist-edge/src/gateway/attempt.rs
@@ -270,6 +270,7 @@
     }
     // The lease ends with the body, but the limit must be kept from now on.
     shared.steer.send(Input::Announced(lease.ticket().clone().into(), announced));
+    let outcome = Outcome::Answered { took, report, announced: Announced::Recorded, failed };
     Next::Done(to_caller(shared, request, answer, Some((lease, outcome))))
 }
 
