Tell a silent host from one that lost some targets, and let tunnels end

- A data centre without power made three connections in a row time out, so that hosts beside it counted themselves as cut off, dropped all idle connections and refused tunnels.
Time-outs now count only if nothing has come from any target since, and connections count as silent only after 0.4 s without anything.
- A probe of a suspected path went through tunnels only while the host was cut off, and could not find out that the path was whole.
It always tries the direct path.
- The time after which a tunnel is not reused began anew with each request.
It counts from the opening, so that requests leave a host that shuts down.
- Hosts that have left the fleet are dropped from the list of refusals.

--- a/toucanhoist-core/src/steering/announced.rs
+++ b/toucanhoist-core/src/steering/announced.rs
@@ -15,7 +15,8 @@
     Limit(Rate),
     /// It names something that is not a rate.
     Unreadable,
-    /// What it names was recorded when its head arrived. At the end of its body that may be outdated.
+    /// What it names was recorded when its head arrived, and may be outdated at the end of its
+    /// body.
     Recorded,
 }
 
--- a/toucanhoist-core/src/steering/balancer.rs
+++ b/toucanhoist-core/src/steering/balancer.rs
@@ -333,9 +333,11 @@
         let due = self.paths.due_probes(now);
         let probe = |(target, tries_others): (id::Target, bool)| {
             let address = self.address(&target)?;
-            let mut steps = self.plan_connection(now, &target, &[]);
-            if !tries_others {
-                steps = vec![Step { path: Path::Direct, delay: Duration::ZERO }];
+            let direct = Step { path: Path::Direct, delay: Duration::ZERO };
+            let mut steps = vec![direct.clone()];
+            if tries_others {
+                let others = self.plan_connection(now, &target, &[]);
+                steps.extend(others.into_iter().filter(|step| *step != direct));
             }
             Some(Probe { target, address, steps })
         };
--- a/toucanhoist-core/src/steering/balancer/choice.rs
+++ b/toucanhoist-core/src/steering/balancer/choice.rs
@@ -113,7 +113,7 @@
 }
 
 impl Choice {
-    /// Returns the time until a target may be reached, in seconds, if all of them are out of reach now.
+    /// Returns the time until a target may be reached, in seconds, if all are out of reach now.
     pub(super) fn unreachable_s(&self) -> Option<f64> {
         let is_only_reason =
             self.least_wait_s.is_none() && self.next_turn.wait_s.is_none() && !self.may_recover;
@@ -137,8 +137,8 @@
     let eligible = eligible_targets(request, &context);
     let isolation = context.paths.isolation(now, context.topology);
     let unreachable_for = |target: &TrackedTarget| {
-        let is_unlikely = || context.paths.is_unlikely(&target.name, &target.entry.data_centre);
-        let wait = isolation.filter(|_| is_unlikely()).unwrap_or_default();
+        let wait = isolation.filter(|_| context.paths.is_unlikely(&target.name));
+        let wait = wait.unwrap_or_default();
         wait.max(target.load.back_off_left(now))
     };
     let is_reachable_in_region = |candidate: &Eligible| {
--- a/toucanhoist-core/src/steering/balancer/paths.rs
+++ b/toucanhoist-core/src/steering/balancer/paths.rs
@@ -1,13 +1,14 @@
 //! What a host knows of its paths to targets, and how it connects to each.
 //!
 //! A host can lose its path to targets that other hosts still reach. It finds out when it needs a
-//! connection: once the direct attempt has failed or takes long, it asks another host for a tunnel to
-//! the same target. Nothing has been sent by then, so this is safe for requests that must not run
-//! twice. Only the connection differs; the host that took the request goes on deciding and counting.
+//! connection: once the direct attempt has failed or takes long, it asks another host for a tunnel
+//! to the same target. Nothing has been sent by then, so this is safe for requests that must not
+//! run twice. Only the connection differs; the host that took the request goes on deciding and
+//! counting.
 //!
-//! A target that others reach and this host does not is [`Direct::Lost`], and used through tunnels until
-//! a probe of the direct path succeeds. Several targets that fail in a row mean that the host is cut
-//! off. It then trusts no idle connection and carries no tunnels.
+//! A target that others reach and this host does not is [`Direct::Lost`], and used through tunnels
+//! until a probe of the direct path succeeds. Several targets that fail in a row mean that the host
+//! is cut off. It then trusts no idle connection and carries no tunnels.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -36,6 +37,9 @@
 const BACK_OFF_MAX: Duration = Duration::from_secs(4);
 /// Hosts of a data centre that refuse tunnels before those of other data centres are asked first.
 const DOUBTFUL_REFUSALS: usize = 2;
+/// Time without anything from any target after which connections count as silent; less than an
+/// attempt to connect may take.
+const SILENCE_MIN: Duration = Duration::from_millis(400);
 /// Time for which a tunnel to a target shows that other hosts reach it.
 const TUNNEL_EVIDENCE_TIME: Duration = Duration::from_secs(1);
 
@@ -78,7 +82,9 @@
     connected_at: Time,
     /// When something last came from a target over a direct connection, by data centre.
     answered_at: HashMap<id::DataCentre, Time>,
-    /// When the host was cut off and its connections fell silent; `None` if they have not.
+    /// The latest of these times.
+    last_answer_at: Time,
+    /// When the host was cut off and its connections had fallen silent, until something comes.
     silent_since: Option<Time>,
     /// Connections that have been idle since before are not used.
     fresh_after: Time,
@@ -97,22 +103,21 @@
 impl Paths {
     /// Whether the host reaches no targets, as far as it knows.
     pub(super) fn is_cut_off(&self) -> bool {
-        let failed = self.doubts.values().filter(|doubt| {
-            matches!(doubt.direct, Direct::Failed(_) | Direct::Lost(_))
-                && doubt.failed_at > self.connected_at
+        let failed = self.doubts.values().filter(|doubt| match doubt.direct {
+            Direct::Suspect => false,
+            // Answers over kept connections show that the path is whole.
+            Direct::Failed(Failure::TimedOut) | Direct::Lost(Failure::TimedOut) => {
+                doubt.failed_at > self.connected_at.max(self.last_answer_at)
+            }
+            // Kept connections may live on while new ones are refused.
+            Direct::Failed(_) | Direct::Lost(_) => doubt.failed_at > self.connected_at,
         });
         failed.count() >= CUT_OFF_TARGETS
     }
 
-    /// Whether nothing has come from the targets of a data centre since the host was cut off.
-    fn is_silent(&self, data_centre: &id::DataCentre) -> bool {
-        let answered_at = self.answered_at.get(data_centre).copied().unwrap_or(Time::ZERO);
-        self.silent_since.is_some_and(|since| answered_at < since)
-    }
-
     /// Whether a direct path to a target is likely to fail.
-    pub(super) fn is_unlikely(&self, target: &id::Target, data_centre: &id::DataCentre) -> bool {
-        self.has_failed(target) || self.is_silent(data_centre)
+    pub(super) fn is_unlikely(&self, target: &id::Target) -> bool {
+        self.has_failed(target) || self.silent_since.is_some()
     }
 
     /// Whether the last direct attempt to connect to a target failed.
@@ -143,7 +148,7 @@
         let uses_direct = match direct {
             Some(Direct::Failed(_)) => !is_cut_off,
             Some(Direct::Lost(_)) => !is_cut_off && helpers.is_empty(),
-            Some(Direct::Suspect) | None => !self.is_silent(wanted.data_centre),
+            Some(Direct::Suspect) | None => self.silent_since.is_none(),
         };
         let is_doubtful = is_cut_off || matches!(direct, Some(Direct::Failed(_)));
         let mut steps = Vec::new();
@@ -192,8 +197,8 @@
         topology.helpers(wanted, HELPERS_MAX, preference)
     }
 
-    /// Records how an attempt to connect ended. Returns whether the direct path to the target turned
-    /// out to be lost just now.
+    /// Records how an attempt to connect ended. Returns whether the direct path to the target
+    /// turned out to be lost just now.
     pub(super) fn record(
         &mut self,
         now: Time,
@@ -260,7 +265,8 @@
         let is_lost = was_lost || now < doubt.tunnelled_at + TUNNEL_EVIDENCE_TIME;
         doubt.direct = if is_lost { Direct::Lost(failure) } else { Direct::Failed(failure) };
         doubt.failed_at = now;
-        if failure == Failure::TimedOut && self.is_cut_off() {
+        let is_silent = now >= self.last_answer_at + SILENCE_MIN;
+        if failure == Failure::TimedOut && is_silent && self.is_cut_off() {
             self.silent_since.get_or_insert(now);
             self.fresh_after = now;
         }
@@ -294,6 +300,7 @@
 
     /// Records that something came from a target over a direct connection.
     fn record_answer(&mut self, now: Time, target: &id::Target, data_centre: &id::DataCentre) {
+        (self.last_answer_at, self.silent_since) = (now, None);
         if let Some(at) = self.answered_at.get_mut(data_centre) {
             *at = now;
         } else {
@@ -329,8 +336,8 @@
         }
     }
 
-    /// Returns the targets to which a connection is to be tried now, to learn whether the direct path
-    /// works. Of a suspected path, the other paths are tried too.
+    /// Returns the targets to which a connection is to be tried now, to learn whether the direct
+    /// path works, and whether the other paths are to be tried too.
     pub(super) fn due_probes(&mut self, now: Time) -> Vec<(id::Target, bool)> {
         if self.doubts.is_empty() || now < self.probed_at + PROBE_INTERVAL {
             return Vec::new();
@@ -363,6 +370,8 @@
 
 /// Has a host that refused a tunnel not be asked for a while.
 fn back_off(helpers: &mut HashMap<id::EntryHost, BackOff>, now: Time, helper: &id::EntryHost) {
+    // Hosts that have left the fleet are not asked again.
+    helpers.retain(|_, back_off| now < back_off.until + BACK_OFF_MAX);
     let back_off = helpers.entry(helper.clone());
     let back_off = back_off.or_insert(BackOff { until: now, next: BACK_OFF_MIN });
     // Several attempts may have been under way.
--- a/toucanhoist-core/src/steering/balancer/topology.rs
+++ b/toucanhoist-core/src/steering/balancer/topology.rs
@@ -146,9 +146,10 @@
         self.hosts.keys().filter(|host| **host != self.host)
     }
 
-    /// Returns up to `count` other hosts that may carry a tunnel to a target: those of its data centre
-    /// first, then those of its region, as the exchange passes there anyway. Different hosts get
-    /// different ones of each group. Where homes restrict the regions, only hosts of these carry it.
+    /// Returns up to `count` other hosts that may carry a tunnel to a target: those of its data
+    /// centre first, then those of its region, as the exchange passes there anyway. Different hosts
+    /// get different ones of each group. Where homes restrict the regions, only hosts of these
+    /// carry it.
     pub(super) fn helpers(
         &self,
         wanted: Wanted<'_>,
--- a/toucanhoist-core/src/steering/balancer/tracked_target.rs
+++ b/toucanhoist-core/src/steering/balancer/tracked_target.rs
@@ -225,8 +225,8 @@
         self.load.send();
     }
 
-    /// Records how a request ended. `is_path_whole` says whether a request without an answer is known
-    /// to have reached it, since others were answered meanwhile.
+    /// Records how a request ended. `is_path_whole` says whether a request without an answer is
+    /// known to have reached it, since others were answered meanwhile.
     pub(super) fn record_outcome(
         &mut self,
         now: Time,
--- a/toucanhoist-core/src/steering/path.rs
+++ b/toucanhoist-core/src/steering/path.rs
@@ -31,7 +31,8 @@
     TimedOut,
     /// The other host has no path to the target.
     NoPath,
-    /// The other host does not answer, is cut off itself, shuts down, or carries as many tunnels as it may.
+    /// The other host does not answer, is cut off itself, shuts down, or carries as many tunnels as
+    /// it may.
     NoHelper,
 }
 
--- a/toucanhoist-core/src/steering/placement.rs
+++ b/toucanhoist-core/src/steering/placement.rs
@@ -174,8 +174,8 @@
     Unsent,
     /// The target closed the connection without a complete answer, or sent something else.
     Broken,
-    /// The connection was reset or fell silent before the answer was complete; the target has failed, or
-    /// the path to it.
+    /// The connection was reset or fell silent before the answer was complete; the target has
+    /// failed, or the path to it.
     Disconnected,
     /// Its deadline passed without an answer.
     Unanswered,
--- a/toucanhoist-edge/src/peers/tunnel.rs
+++ b/toucanhoist-edge/src/peers/tunnel.rs
@@ -1,9 +1,10 @@
 /*!
 Tunnels: connections to targets that one host carries for another.
 
-A host that has lost its path to a target asks another one with `CONNECT` and the target's address, and names the
-target. The other one connects from its own place and then copies bytes; it neither reads nor counts what passes. It
-refuses if it has no path itself, so that a tunnel has one hop. A refusal says why, in the header `toucanhoist-tunnel`.
+A host that has lost its path to a target asks another one with `CONNECT` and the target's address, and names
+the target. The other one connects from its own place and then copies bytes; it neither reads nor counts what
+passes. It refuses if it has no path itself, so that a tunnel has one hop. A refusal says why, in the header
+`toucanhoist-tunnel`.
 */
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
--- a/toucanhoist-edge/src/target.rs
+++ b/toucanhoist-edge/src/target.rs
@@ -1,8 +1,9 @@
 /*!
 A pool of connections to targets.
 
-Connections are made directly or through tunnels of other hosts ([`connect`]). A connection is reused only after
-a complete answer with explicit framing, and only while the target has not announced that it closes it. A target that sent bytes which belong to no request gets a new connection
+Connections are made directly or through tunnels of other hosts ([`connect`]). A connection is reused only
+after a complete answer with explicit framing, and only while the target has not announced that it closes it. A
+target that sent bytes which belong to no request gets a new connection
 for each request during `STRAY_TIME`. The answer's request identifier is compared with the request's, so
 that a late or surplus answer is never returned for another request.
 */
@@ -53,8 +54,8 @@
 const IDLE_CONNECTIONS_MAX: usize = 16;
 /// Time for which connections to a target that sent stray bytes are not reused.
 const STRAY_TIME: Duration = Duration::from_secs(8);
-/// Time after which a tunnel is not reused, so that requests return to the direct path when it works, and leave
-/// a host that shuts down.
+/// Time after which a tunnel is not reused, so that requests return to the direct path when it works, and
+/// leave a host that shuts down.
 const TUNNEL_MAX: Duration = Duration::from_secs(2);
 /// Bytes of an answer's body that are buffered before any of it is sent to the caller.
 const BUFFER_BYTES: usize = 256 * 1_024;
@@ -366,9 +367,10 @@
                 return;
             }
             let since = Instant::now();
-            let is_tunnel = via.is_some();
-            let until = if is_tunnel { until.min(since + TUNNEL_MAX) } else { until };
-            if pool.keep(&endpoint, Idle { connection, via, since, until }) && is_tunnel {
+            let expires = via.as_ref().map(|via| via.opened + TUNNEL_MAX);
+            let until = expires.map_or(until, |expires| until.min(expires));
+            let is_kept = pool.keep(&endpoint, Idle { connection, via, since, until });
+            if is_kept && expires.is_some() {
                 // The host at its end holds descriptors for it.
                 time::sleep_until(until).await;
                 pool.drop_closed(&endpoint);
--- a/toucanhoist-edge/src/target/connect.rs
+++ b/toucanhoist-edge/src/target/connect.rs
@@ -45,6 +45,8 @@
 pub(super) struct Via {
     pub host: id::EntryHost,
     pub region: Option<id::Region>,
+    /// When the tunnel was opened.
+    pub opened: Instant,
 }
 
 /// Attempts that are aborted when the connection is no longer needed.
@@ -129,7 +131,8 @@
             (Path::Tunnel(host), Some(helper)) => {
                 let stream = tunnel::open(helper.address, endpoint.0, &endpoint.1).await?;
                 let connection = self.handshake(endpoint, stream).await.ok_or(Failure::NoHelper)?;
-                let via = Via { host: host.clone(), region: helper.region.clone() };
+                let (host, region) = (host.clone(), helper.region.clone());
+                let via = Via { host, region, opened: Instant::now() };
                 Ok(Connected { connection, via: Some(via) })
             }
             (Path::Tunnel(_), None) => Err(Failure::NoHelper),
