Test that a long answer does not bring back a limit, through a running host

With the former outcome at the end of the body (trial on a scratch copy) the host refuses later requests as `limited`; with `Recorded` it sends them. The body must be chunked for this: of one with a stated length, the HTTP library does not poll the end.

--- a/toucanhoist-edge/tests/edge.rs
+++ b/toucanhoist-edge/tests/edge.rs
@@ -20,6 +20,8 @@
 mod malformed;
 #[path = "edge/restore.rs"]
 mod restore;
+#[path = "edge/streamed.rs"]
+mod streamed;
 mod support;
 
 use support::{
