Let the soak end a target's fault at the target that it began at

The faults of targets and of their links chose the target by its index, when they began and again when they ended. A replacement of a target in between shifts the indexes, so the fault of another one was ended, and i-1 stayed mute: its requests ended with "no answer before the deadline" on new connections, at all hosts and through tunnels, from 56.4 s of the log to its end.

Faults remember the target's name now.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -164,15 +164,16 @@
             host.store.set_fault(proxy::Fault::None);
         }
         Kind::TargetLink(fault) => {
-            with_target(cluster, selector, |target| target.proxy.set_fault(fault)).await;
+            let id = choose_target(cluster, selector).await;
+            with_target(cluster, &id, |target| target.proxy.set_fault(fault)).await;
             time::sleep(duration).await;
-            with_target(cluster, selector, |target| target.proxy.set_fault(proxy::Fault::None))
-                .await;
+            with_target(cluster, &id, |target| target.proxy.set_fault(proxy::Fault::None)).await;
         }
         Kind::Target(fault) => {
-            with_target(cluster, selector, |target| target.set_fault(fault)).await;
+            let id = choose_target(cluster, selector).await;
+            with_target(cluster, &id, |target| target.set_fault(fault)).await;
             time::sleep(duration).await;
-            with_target(cluster, selector, |target| target.set_fault(target::Fault::None)).await;
+            with_target(cluster, &id, |target| target.set_fault(target::Fault::None)).await;
         }
         Kind::Cut(cut) => {
             // One, two or all data centres.
@@ -226,9 +227,15 @@
     targets.iter().filter(is_in).for_each(|target| target.proxy.set_cut(host.source, cut));
 }
 
-async fn with_target(cluster: &Cluster, selector: usize, change: impl Fn(&Target)) {
+async fn choose_target(cluster: &Cluster, selector: usize) -> String {
     let targets = cluster.targets.lock().await;
-    change(&targets[selector % targets.len()]);
+    targets[selector % targets.len()].id.clone()
+}
+
+/// Changes a target, unless it has been replaced.
+async fn with_target(cluster: &Cluster, id: &str, change: impl Fn(&Target)) {
+    let targets = cluster.targets.lock().await;
+    targets.iter().filter(|target| target.id == id).for_each(change);
 }
 
 /// Replaces a target: starts a new one, then drains an old one.
