Log what answers say of leaving targets, and waits for connections

Now target-leaving (2111) records each answer that says that its target leaves, attempt-failed how long the request had waited for a connection, and target-changed the version of the store on which a host acts. No decision changes.

Tests: events (the catalogue agrees with the code).

--- a/toucanhoist-core/src/event.rs
+++ b/toucanhoist-core/src/event.rs
@@ -110,6 +110,8 @@
     QuarantineReleased 2104 Warn "quarantine-released"
     /// The plan diverts callers of a region to other regions.
     Planned 2105 Info "planned"
+    /// An answer of a target said that the target is leaving.
+    TargetLeaving 2111 Info "target-leaving"
     /// The host reaches no targets itself.
     CutOff 2109 Warn "cut-off"
     /// The host reaches targets again.
--- a/toucanhoist-core/src/steering/registry.rs
+++ b/toucanhoist-core/src/steering/registry.rs
@@ -42,7 +42,7 @@
     }
 
     /// Returns an entry.
-    pub(super) fn entry(&self, key: &Key) -> Option<&Entry> {
+    pub fn entry(&self, key: &Key) -> Option<&Entry> {
         self.entries.get(key)
     }
 
--- a/toucanhoist-edge/src/dialect.rs
+++ b/toucanhoist-edge/src/dialect.rs
@@ -27,6 +27,8 @@
     /// Header with the requests a second that a target takes from all hosts together, while it announces a
     /// limit.
     pub limit: HeaderName,
+    /// Header of all answers of a target that is leaving, with the value `1`.
+    pub leaving: HeaderName,
     /// Headers that only a target may set; they are removed from requests.
     pub target_only: Box<[HeaderName]>,
     /// Whether `Retry-After` may hold fractions of a second.
@@ -63,6 +65,7 @@
             not_run: HeaderName::from_static("toucanhoist-not-run"),
             load: HeaderName::from_static("toucanhoist-load"),
             limit: HeaderName::from_static("toucanhoist-limit"),
+            leaving: HeaderName::from_static("toucanhoist-leaving"),
             target_only: Box::default(),
             fractional_retry_after: false,
             readiness_path: "/ready".into(),
--- a/toucanhoist-edge/src/fleet/publish.rs
+++ b/toucanhoist-edge/src/fleet/publish.rs
@@ -40,9 +40,17 @@
                 Some(target) => (target.service.as_str(), target.state.as_str(), target.born),
                 None => ("", "gone", 0),
             };
+            let version =
+                self.mirror.registry().entry(key).map_or_else(Default::default, |e| e.version);
             self.parts.journal.note(
                 Event::TargetChanged,
-                &[("target", name), ("service", &service), ("state", &state), ("born", &born)],
+                &[
+                    ("target", name),
+                    ("service", &service),
+                    ("state", &state),
+                    ("born", &born),
+                    ("version", &version),
+                ],
             );
             self.parts.steer.send(steer::Input::Target(name.clone(), target));
         }
--- a/toucanhoist-edge/src/gateway/attempt.rs
+++ b/toucanhoist-edge/src/gateway/attempt.rs
@@ -165,7 +165,12 @@
     };
     let outcome = shared.targets.run(exchange, || build(shared, request, &ticket.target)).await;
     match &outcome {
-        Ok(answer) => lease.set_via(answer.via.clone()),
+        Ok(answer) => {
+            lease.set_via(answer.via.clone());
+            if answer.is_leaving {
+                log_leaving(shared, request, &ticket, answer);
+            }
+        }
         Err(failure) => {
             lease.set_via(failure.via.clone());
             log_failure(shared, request, &ticket, failure, sent);
@@ -393,11 +398,27 @@
             ("error", &failure.error),
             ("connection", &if failure.is_kept { "kept" } else { "new" }),
             ("via", &failure.via.as_ref().map_or("", id::EntryHost::as_str)),
+            ("connecting_us", &failure.connecting.as_micros()),
             ("micros", &sent.elapsed().as_micros()),
         ],
     );
 }
 
+/// Logs an answer which says that its target is leaving.
+fn log_leaving(shared: &Shared, request: &Admitted, ticket: &Ticket, answer: &target::Answer) {
+    shared.journal.record(
+        Event::TargetLeaving,
+        &request.id,
+        &[
+            ("target", &ticket.target),
+            ("born", &ticket.born),
+            ("status", &answer.head.status.as_u16()),
+            ("via", &answer.via.as_ref().map_or("", id::EntryHost::as_str)),
+            ("connecting_us", &answer.connecting.as_micros()),
+        ],
+    );
+}
+
 fn log_answer(
     shared: &Shared,
     request: &Admitted,
--- a/toucanhoist-edge/src/target.rs
+++ b/toucanhoist-edge/src/target.rs
@@ -129,6 +129,10 @@
     pub announced: Announced,
     /// Whether the target states that it did not run the request.
     pub not_run: bool,
+    /// Whether the target states that it is leaving.
+    pub is_leaving: bool,
+    /// Time for which the request waited for a connection.
+    pub connecting: Duration,
     /// The host through whose tunnel it came.
     pub via: Option<id::EntryHost>,
 }
@@ -176,6 +180,8 @@
     pub error: Error,
     /// Whether the connection was kept from an earlier request.
     pub is_kept: bool,
+    /// Time for which the request waited for a connection.
+    pub connecting: Duration,
     /// The host through whose tunnel the request was sent.
     pub via: Option<id::EntryHost>,
 }
@@ -265,6 +271,13 @@
         build: impl Fn() -> Request<Full<Bytes>>,
     ) -> Result<Answer, Failure> {
         let endpoint = (exchange.address, exchange.target.clone());
+        let begun = Instant::now();
+        let unreachable = |cause| Failure {
+            error: Error::Unreachable(cause),
+            is_kept: false,
+            connecting: begun.elapsed(),
+            via: None,
+        };
         loop {
             let connecting = self.connection(&endpoint, &exchange);
             let (connection, is_kept) = match time::timeout_at(exchange.deadline, connecting).await
@@ -273,16 +286,17 @@
                 Ok(Err(cause)) => return Err(unreachable(cause)),
                 Err(_) => return Err(unreachable(Cause::DeadlinePassed)),
             };
+            let connecting = begun.elapsed();
             let via = connection.via.as_ref().map(|via| via.host.clone());
             let sending = self.send(&exchange, &endpoint, connection, build());
             let error = match time::timeout_at(exchange.deadline, sending).await {
-                Ok(Ok(Some(answer))) => return Ok(answer),
+                Ok(Ok(Some(answer))) => return Ok(Answer { connecting, ..answer }),
                 // The connection closed before any of the request was sent.
                 Ok(Ok(None)) => continue,
                 Ok(Err(error)) => error,
                 Err(_) => Error::Overdue,
             };
-            return Err(Failure { error, is_kept, via });
+            return Err(Failure { error, is_kept, connecting, via });
         }
     }
 
@@ -310,6 +324,7 @@
         let report = head.headers.get(&dialect.load).and_then(|v| parse_load(v.to_str().ok()?));
         let announced = announced(&head.headers, &dialect.limit);
         let not_run = head.headers.contains_key(&dialect.not_run);
+        let is_leaving = head.headers.get(&dialect.leaving).is_some_and(|value| value == "1");
         if via.is_some() && !has_no_body && ends_with_connection(&head) {
             return Err(Error::Broken(Cause::Closed));
         }
@@ -321,7 +336,17 @@
                 self.put_back(endpoint.clone(), Connected { connection, via }, until);
             }
         }
-        Ok(Some(Answer { head, first, rest, report, announced, not_run, via: host }))
+        Ok(Some(Answer {
+            head,
+            first,
+            rest,
+            report,
+            announced,
+            not_run,
+            is_leaving,
+            connecting: Duration::ZERO,
+            via: host,
+        }))
     }
 
     /// Tries the paths of a plan, and keeps the connection.
@@ -419,10 +444,6 @@
     Ok((first.freeze(), None))
 }
 
-fn unreachable(cause: Cause) -> Failure {
-    Failure { error: Error::Unreachable(cause), is_kept: false, via: None }
-}
-
 /// Whether an answer's body ends with the connection. Through a tunnel its end may as well be that of the
 /// host in between.
 fn ends_with_connection(head: &Parts) -> bool {
