--- a/toucanhoist-edge/tests/support/mod.rs
+++ b/toucanhoist-edge/tests/support/mod.rs
@@ -208,6 +208,10 @@
     Large,
     /// Answers once it has received two requests.
     AwaitTwo,
+    /// Answers with a status, and the value in the header of targets that leave.
+    Leave(u16, &'static str),
+    /// Answers 503 without running the request, with the value as `Retry-After`.
+    Busy(&'static str),
     /// Answers, and names a limit that allows the next request after many seconds.
     Limit,
 }
@@ -285,6 +289,14 @@
             Behaviour::Shed => {
                 answer("503 Service Unavailable", &id, "toucanhoist-not-run: 1\r\n", "")
             }
+            Behaviour::Leave(status, value) => {
+                let leaving = format!("toucanhoist-leaving: {value}\r\n");
+                answer(&format!("{status} Status"), &id, &leaving, path)
+            }
+            Behaviour::Busy(after) => {
+                let after = format!("toucanhoist-not-run: 1\r\nretry-after: {after}\r\n");
+                answer("503 Service Unavailable", &id, &after, "")
+            }
             Behaviour::Unavailable => answer("503 Service Unavailable", &id, "", ""),
             Behaviour::Fail => answer("500 Internal Server Error", &id, "", "own failure"),
             Behaviour::Break => return,
