Ask before the first byte whether a target takes requests, and read what targets say of themselves

What callers saw: requests reached targets that had said that they leave (DRAIN), and would be sent to targets whose 503 names a time until which they want nothing (BUDGET).

Cause: a statement of a target about itself was acted on only if it came through the store. Answers say it too, and a host without the store may learn of it in no other way. And the state was asked when the lease was granted; the request then waited for a connection, or for a second one, and nobody asked again.

Change: each incarnation of a target has one gate, which its tickets share. It is closed by its entry, its removal, another start or address, an evacuation, an answer that says that it leaves, and for a time by Retry-After of its 503 (at most 60 s). The sender asks it just before the first byte; a request whose target has left goes to another one as never sent, without a token of the retry budget. That an incarnation leaves is kept with its limit, for 60 s beyond its entry, and told to other hosts in the same message, with a new field that earlier builds ignore. Where another host reports it, the target serves only what no other can. A host that carried the answer of a 503 is told too, and opens no tunnels to targets that take nothing.

--- a/toucanhoist-core/src/steering.rs
+++ b/toucanhoist-core/src/steering.rs
@@ -20,6 +20,7 @@
 mod connectivity;
 mod deferral;
 mod entry;
+mod gate;
 pub mod limit;
 mod load;
 mod mirror;
@@ -34,7 +35,9 @@
 pub use self::{
     advertised::advertised_hosts,
     announced::Announced,
-    balancer::{Balancer, LOAD_EXCHANGE_HOSTS_MIN, LOAD_EXCHANGE_INTERVAL, Probe, Settings, Tag},
+    balancer::{
+        Balancer, HOLD_MAX, LOAD_EXCHANGE_HOSTS_MIN, LOAD_EXCHANGE_INTERVAL, Probe, Settings, Tag,
+    },
     bootstrap::Bootstrap,
     budget::{RetryBudget, Terms as RetryTerms},
     catch_up::CatchUp,
@@ -43,6 +46,7 @@
     config::{AccountTerms, Config, Host, Limits, Part, Route, Routes, ServiceTerms},
     connectivity::Connectivity,
     entry::{Entry, EntryHost, Key, Target, TargetState, Topic, Value},
+    gate::Gate,
     limit::Report as LimitReport,
     load::{Load, Observations, Reading, Report},
     mirror::{Mirror, Update},
--- a/toucanhoist-core/src/steering/balancer.rs
+++ b/toucanhoist-core/src/steering/balancer.rs
@@ -9,8 +9,8 @@
 use super::{
     Announced, Attempt, ColdLimit, Config, Failure, LimitReport, Observations, Outcome, Path,
     Placement, PlacementRequest, ProcessingTime, Refused, RetryBudget, ServiceTerms, Step, Target,
-    Ticket, budget,
-    limit::{self, Knowledge},
+    TargetState, Ticket, budget,
+    limit::{self, Knowledge, Source},
 };
 use crate::{clock::Time, id};
 
@@ -63,6 +63,9 @@
 /// the rest.
 const PLAN_CAP_SHARE: f64 = 0.25;
 
+/// Longest time for which a target that asks for no requests gets none; a longer one may be a mistake.
+pub const HOLD_MAX: Duration = Duration::from_secs(60);
+
 impl Settings {
     /// Returns the share of the requests by which the plan may change in each interval.
     fn plan_cap(&self) -> f64 {
@@ -202,7 +205,15 @@
         }
         let service = self.targets.remove(name);
         let target = service.and_then(|service| self.services.get_mut(&service)?.remove(name));
-        let Some(entry) = entry else { return };
+        let Some(entry) = entry else {
+            if let Some(mut target) = target {
+                target.withdraw();
+            }
+            return;
+        };
+        if entry.state == TargetState::Draining {
+            self.limits.record_leaving(now, name, entry.born, Source::Entry);
+        }
         let mut target = match target {
             Some(target) => target.update(entry, &self.topology),
             None => {
@@ -225,6 +236,9 @@
             service.replan();
             for target in &mut service.targets {
                 target.evacuated = self.topology.is_evacuated(&target.entry.data_centre);
+                if target.evacuated {
+                    target.withdraw();
+                }
             }
             reopened.iter().for_each(|data_centre| service.set_cold(now, data_centre));
         }
@@ -320,10 +334,17 @@
     ///
     /// # Errors
     ///
-    /// It has no path to the target, or to any.
-    pub fn check_tunnel(&self, target: &id::Target, address: SocketAddr) -> Result<(), Failure> {
-        match self.address(target) {
-            Some(known) if known == address => self.paths.check_tunnel(target),
+    /// It has no path to the target, or to any, or the target wants no requests of this host.
+    pub fn check_tunnel(
+        &self,
+        now: Time,
+        target: &id::Target,
+        address: SocketAddr,
+    ) -> Result<(), Failure> {
+        match self.target(target) {
+            Some(known) if known.entry.address == address && known.accepts(now) => {
+                self.paths.check_tunnel(target)
+            }
             _ => Err(Failure::NoPath),
         }
     }
@@ -349,15 +370,35 @@
         self.paths.is_cut_off()
     }
 
+    fn target(&self, name: &id::Target) -> Option<&TrackedTarget> {
+        let service = self.services.get(self.targets.get(name)?)?;
+        service.targets.iter().find(|known| known.name == *name)
+    }
+
     fn entry(&self, target: &id::Target) -> Option<&Target> {
-        let service = self.services.get(self.targets.get(target)?)?;
-        Some(&service.targets.iter().find(|known| known.name == *target)?.entry)
+        Some(&self.target(target)?.entry)
     }
 
     fn address(&self, target: &id::Target) -> Option<SocketAddr> {
         Some(self.entry(target)?.address)
     }
 
+    /// Records that a target says in an answer that it leaves.
+    pub fn record_leaving(&mut self, now: Time, name: &id::Target, born: u64) {
+        if self.limits.record_leaving(now, name, born, Source::Answer) {
+            self.apply_limit(now, name);
+        }
+    }
+
+    /// Has an incarnation of a target get no requests of this host for some time.
+    pub fn hold(&mut self, now: Time, name: &id::Target, born: u64, time: Duration) {
+        let service = self.targets.get(name).and_then(|service| self.services.get_mut(service));
+        let target = service.and_then(|service| service.target_mut(name));
+        if let Some(target) = target.filter(|target| target.entry.born == born) {
+            target.hold(now + time.min(HOLD_MAX));
+        }
+    }
+
     /// Records what an answer announces whose body has not ended yet.
     pub fn record_announced(&mut self, now: Time, ticket: &Ticket, announced: Announced) {
         self.record_limit(now, ticket, announced, true);
@@ -376,6 +417,7 @@
         let Some(target) = service.and_then(|service| service.target_mut(name)) else { return };
         let known = self.limits.get(name, target.entry.born);
         target.set_limit(now, &self.topology, known);
+        target.set_leaving(self.limits.leaving(name, target.entry.born));
     }
 
     /// Merges what another host knows of the limits of targets.
--- a/toucanhoist-core/src/steering/balancer/choice.rs
+++ b/toucanhoist-core/src/steering/balancer/choice.rs
@@ -225,7 +225,12 @@
             && context.topology.is_allowed(target.region, &request.homes)
             && !request.tried.contains(&target.name)
     };
-    let candidates = context.targets.iter().enumerate().filter(|(_, target)| may_serve(target));
+    let is_certain = |target: &TrackedTarget| may_serve(target) && !target.is_reported_leaving();
+    let has_certain = context.targets.iter().any(is_certain);
+    let candidates =
+        context.targets.iter().enumerate().filter(|(_, target)| {
+            may_serve(target) && (!has_certain || !target.is_reported_leaving())
+        });
     let mut candidates: Vec<Eligible> = candidates
         .map(|(index, target)| Eligible {
             score: rendezvous_score(target.hash, object),
--- a/toucanhoist-core/src/steering/balancer/service.rs
+++ b/toucanhoist-core/src/steering/balancer/service.rs
@@ -341,6 +341,7 @@
             limit: target.limit(),
             limit_version: target.limit_version(),
             born: target.entry.born,
+            gate: target.gate(),
             is_timing_valid: best.certain
                 && busy < f64::from(target.entry.slots)
                 && !target.is_cold(now),
--- a/toucanhoist-core/src/steering/balancer/tracked_target.rs
+++ b/toucanhoist-core/src/steering/balancer/tracked_target.rs
@@ -12,8 +12,8 @@
     clock::Time,
     id,
     steering::{
-        ColdLimit, Load, Outcome, Reading, Target, TargetState, Ticket,
-        limit::{Statement, Turns},
+        ColdLimit, Gate, Load, Outcome, Reading, Target, TargetState, Ticket,
+        limit::{Source, Statement, Turns},
     },
     unit::Rate,
 };
@@ -32,7 +32,7 @@
 /// Extra time for which a target counts as cold, since reports may be in transit.
 const COLD_MARGIN: Duration = Duration::from_millis(300);
 
-/// When the limit of a target next allows a request of this host.
+/// When the limit of a target, or the time for which it wants nothing, next allows a request of this host.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Turn {
     Now,
@@ -67,6 +67,12 @@
     limit_confirmed_at: Time,
     /// Requests that this host may send it, while it has a limit.
     turns: Option<Turns>,
+    /// Where this host learned that it leaves.
+    leaving: Option<Source>,
+    /// Time until which it wants no requests of this host.
+    held_until: Time,
+    /// Shared by the tickets that were granted since the target was last withdrawn.
+    gate: Gate,
 }
 
 impl TrackedTarget {
@@ -92,6 +98,9 @@
             statement: None,
             limit_confirmed_at: Time::ZERO,
             turns: None,
+            leaving: None,
+            held_until: Time::ZERO,
+            gate: Gate::default(),
         }
     }
 
@@ -99,6 +108,8 @@
     pub(super) fn update(mut self, entry: &Target, topology: &Topology) -> TrackedTarget {
         if self.entry.born != entry.born || self.entry.address != entry.address {
             self.load.reset();
+            (self.leaving, self.held_until) = (None, Time::ZERO);
+            self.withdraw();
         }
         self.entry = entry.clone();
         self.region = topology.region_of(&entry.data_centre);
@@ -123,7 +134,44 @@
 
     /// Whether its entry allows requests.
     pub(super) fn is_usable(&self) -> bool {
-        self.entry.state == TargetState::Ready && !self.misdirected && !self.evacuated
+        let has_left = self.leaving.is_some_and(|source| source != Source::Host);
+        self.entry.state == TargetState::Ready && !self.misdirected && !self.evacuated && !has_left
+    }
+
+    /// Whether another host reports that it leaves. It gets requests only where no other target can serve them,
+    /// so that a wrong report cannot take a service away.
+    pub(super) fn is_reported_leaving(&self) -> bool {
+        self.leaving.is_some()
+    }
+
+    /// Returns the gate for a new ticket.
+    pub(super) fn gate(&self) -> Gate {
+        self.gate.clone()
+    }
+
+    /// Keeps requests of earlier tickets that were not sent yet from being sent.
+    pub(super) fn withdraw(&mut self) {
+        std::mem::take(&mut self.gate).close();
+        self.gate.close_until(self.held_until);
+    }
+
+    /// Sets where this host learned that it leaves.
+    pub(super) fn set_leaving(&mut self, leaving: Option<Source>) {
+        self.leaving = leaving;
+        if leaving.is_some_and(|source| source != Source::Host) {
+            self.gate.close();
+        }
+    }
+
+    /// Has it get no requests of this host until a time.
+    pub(super) fn hold(&mut self, until: Time) {
+        self.held_until = self.held_until.max(until);
+        self.gate.close_until(self.held_until);
+    }
+
+    /// Whether this host may send it a request now, as far as the target says.
+    pub(super) fn accepts(&self, now: Time) -> bool {
+        self.is_usable() && now >= self.held_until
     }
 
     pub(super) fn is_cold(&self, now: Time) -> bool {
@@ -204,6 +252,10 @@
 
     /// Returns when its limit next allows a request of this host.
     pub(super) fn turn(&mut self, now: Time) -> Turn {
+        if now < self.held_until {
+            let wait = self.held_until.since(now);
+            return Turn::After { wait, rate_per_s: f64::from(self.entry.slots.max(1)) };
+        }
         let Some(turns) = &mut self.turns else { return Turn::Now };
         match turns.wait(now, self.limit_confirmed_at) {
             Some(wait) if wait.is_zero() => Turn::Now,
--- a/toucanhoist-core/src/steering/limit/knowledge.rs
+++ b/toucanhoist-core/src/steering/limit/knowledge.rs
@@ -1,4 +1,4 @@
-//! What one host knows of the limits of all targets, and what it tells other hosts.
+//! What one host knows of the statements of all targets, and what it tells other hosts.
 //!
 //! Statements spread by gossip: a host that learns of one reports it to a few others, who do the
 //! same. In addition each host reports all limits to another host at intervals, which reaches those
@@ -43,6 +43,8 @@
 pub enum Source {
     /// An answer of the target.
     Answer,
+    /// The target's entry; hosts learn of entries in other ways, so it is not reported to them.
+    Entry,
     /// Another host.
     Host,
 }
@@ -52,6 +54,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Source::Answer => "answer",
+            Source::Entry => "entry",
             Source::Host => "host",
         }
     }
@@ -64,6 +67,8 @@
     pub target: id::Target,
     /// Its limit; `None` if it names none any more.
     pub limit: Option<Rate>,
+    /// Whether it leaves.
+    pub is_leaving: bool,
     /// Where the host learned of it.
     pub source: Source,
 }
@@ -82,6 +87,8 @@
 #[derive(Debug)]
 struct Known {
     statement: Statement,
+    /// Where this host learned that the target leaves.
+    leaving: Option<Source>,
     /// When an answer of the target last said so to any host.
     confirmed_at: Time,
     /// When the limit had ended, or the target was first missing.
@@ -110,6 +117,12 @@
         (known.statement.born >= born).then_some((known.statement, known.confirmed_at))
     }
 
+    /// Returns where this host learned that the incarnation of a target leaves; `None` if it does not leave.
+    pub fn leaving(&self, target: &id::Target, born: u64) -> Option<Source> {
+        let known = self.statements.get(target).filter(|known| known.statement.born >= born)?;
+        known.leaving
+    }
+
     /// Whether nothing is known of any target.
     pub fn is_empty(&self) -> bool {
         self.statements.is_empty()
@@ -146,10 +159,38 @@
         {
             return false;
         }
-        let statement = Statement { born, version: current_version + 1, limit };
+        let is_leaving = self.leaving(target, born).is_some();
+        let statement = Statement { born, version: current_version + 1, limit, is_leaving };
         self.learn(now, target, statement, now, Source::Answer)
     }
 
+    /// Records that an incarnation of a target leaves; returns whether this adds to the knowledge.
+    pub fn record_leaving(
+        &mut self,
+        now: Time,
+        target: &id::Target,
+        born: u64,
+        source: Source,
+    ) -> bool {
+        let statement = match self.statements.get_mut(target) {
+            Some(known) if known.statement.born > born => return false,
+            Some(known) if known.statement.born == born && known.statement.is_leaving => {
+                // What the target said to this host itself counts for more than what others report.
+                let is_added = known.leaving == Some(Source::Host);
+                if is_added {
+                    known.leaving = Some(source);
+                }
+                return is_added;
+            }
+            Some(known) if known.statement.born == born => {
+                Statement { is_leaving: true, ..known.statement }
+            }
+            _ => Statement { born, version: 0, limit: None, is_leaving: true },
+        };
+        let confirmed_at = self.statements.get(target).map_or(now, |known| known.confirmed_at);
+        self.learn(now, target, statement, confirmed_at, source)
+    }
+
     /// Merges the reports of another host; returns the targets about which they add to the
     /// knowledge.
     pub fn merge(&mut self, now: Time, reports: Vec<Report>) -> Vec<id::Target> {
@@ -163,8 +204,14 @@
                     known.confirmed_at = known.confirmed_at.max(confirmed_at);
                     is_later
                 }
-                Some(known) if !statement.supersedes(&known.statement) => false,
-                _ => self.learn(now, &target, statement, confirmed_at, Source::Host),
+                Some(known) => {
+                    let joined = statement.joined(&known.statement);
+                    let is_newer = statement.supersedes(&known.statement);
+                    let confirmed_at = if is_newer { confirmed_at } else { known.confirmed_at };
+                    joined != known.statement
+                        && self.learn(now, &target, joined, confirmed_at, Source::Host)
+                }
+                None => self.learn(now, &target, statement, confirmed_at, Source::Host),
             };
             if is_added {
                 added.push(target);
@@ -186,20 +233,26 @@
             return false;
         }
         let former_limit = former.and_then(|known| known.statement.limit);
-        if former_limit != statement.limit {
-            let (target, limit) = (target.clone(), statement.limit);
-            self.learned.push(Learned { target, limit, source });
+        let was_leaving = former.is_some_and(|known| known.statement.is_leaving);
+        let leaving = statement.is_leaving.then(|| {
+            let same = former.filter(|known| known.statement.born == statement.born);
+            same.and_then(|known| known.leaving).unwrap_or(source)
+        });
+        let Statement { limit, is_leaving, .. } = statement;
+        if former_limit != limit || (is_leaving && !was_leaving && source != Source::Entry) {
+            self.learned.push(Learned { target: target.clone(), limit, is_leaving, source });
         }
         let known = Known {
             statement,
+            leaving,
             confirmed_at,
             obsolete_since: None,
             transmissions_left: TRANSMISSIONS,
             last_sent: Time::ZERO,
             last_refreshed: now,
         };
+        self.has_unsent |= known.is_reported();
         self.statements.insert(target.clone(), known);
-        self.has_unsent = true;
         true
     }
 
@@ -230,9 +283,10 @@
         if now >= self.refreshed_at + REFRESH_INTERVAL {
             self.refreshed_at = now;
             self.forget_obsolete(now, is_target);
-            if !self.statements.is_empty() && !others.is_empty() {
+            let reports = self.due_refresh(now);
+            if !reports.is_empty() && !others.is_empty() {
                 let host = others[self.rng.random_range(0..others.len())];
-                due.insert(host.clone(), self.due_refresh(now));
+                due.insert(host.clone(), reports);
             }
         }
         due
@@ -241,7 +295,9 @@
     /// Returns reports of new statements, for several hosts.
     fn due_new_reports(&mut self, now: Time) -> Vec<Report> {
         let is_due = |known: &Known| {
-            known.transmissions_left > 0 && now >= known.last_sent + TRANSMISSION_INTERVAL
+            known.transmissions_left > 0
+                && known.is_reported()
+                && now >= known.last_sent + TRANSMISSION_INTERVAL
         };
         let due = self.statements.iter_mut().filter(|(_, known)| is_due(known));
         let report = |(target, known): (&id::Target, &mut Known)| {
@@ -253,7 +309,8 @@
 
     /// Returns reports for one host, of the statements that were reported longest ago.
     fn due_refresh(&mut self, now: Time) -> Vec<Report> {
-        let mut due: Vec<_> = self.statements.iter_mut().collect();
+        let mut due: Vec<_> =
+            self.statements.iter_mut().filter(|(_, known)| known.is_reported()).collect();
         due.sort_by(|(name, known), (other_name, other)| {
             (known.last_refreshed, name).cmp(&(other.last_refreshed, other_name))
         });
@@ -268,7 +325,8 @@
     /// Forgets limits that have ended and targets that are gone, after their retention.
     fn forget_obsolete(&mut self, now: Time, is_target: impl Fn(&id::Target) -> bool) {
         self.statements.retain(|target, known| {
-            if known.statement.limit.is_some() && is_target(target) {
+            let is_current = known.statement.limit.is_some() || known.statement.is_leaving;
+            if is_current && is_target(target) {
                 known.obsolete_since = None;
                 return true;
             }
@@ -278,6 +336,11 @@
 }
 
 impl Known {
+    /// Whether other hosts are told of it.
+    fn is_reported(&self) -> bool {
+        self.statement.version > 0 || self.leaving != Some(Source::Entry)
+    }
+
     fn report(&self, now: Time, target: &id::Target) -> Report {
         let (target, statement) = (target.clone(), self.statement);
         Report { target, statement, age: now.since(self.confirmed_at) }
--- a/toucanhoist-core/src/steering/limit/statement.rs
+++ b/toucanhoist-core/src/steering/limit/statement.rs
@@ -1,10 +1,10 @@
-//! What a target said of its limit, ordered so that hosts agree on the latest one.
+//! What a target said of itself, ordered so that hosts agree on the latest statement.
 
 use std::time::Duration;
 
 use crate::{id, unit::Rate};
 
-/// What a target said of its limit.
+/// What a target said of its limit, and whether it leaves.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Statement {
     /// Start time of the target, which distinguishes its incarnations.
@@ -13,6 +13,8 @@
     pub version: u64,
     /// Requests that it takes from all hosts; `None` if it names no limit any more.
     pub limit: Option<Rate>,
+    /// Whether it leaves; an incarnation that leaves never returns.
+    pub is_leaving: bool,
 }
 
 impl Statement {
@@ -25,6 +27,13 @@
             std::cmp::Ordering::Equal => is_stricter(self.limit, other.limit),
         }
     }
+
+    /// Returns the later of two statements of a target, which leaves if its incarnation said so in either.
+    pub fn joined(&self, other: &Statement) -> Statement {
+        let latest = if self.supersedes(other) { *self } else { *other };
+        let is_leaving = [self, other].iter().any(|one| one.born == latest.born && one.is_leaving);
+        Statement { is_leaving, ..latest }
+    }
 }
 
 /// Whether a limit allows less than another one.
--- a/toucanhoist-core/src/steering/placement.rs
+++ b/toucanhoist-core/src/steering/placement.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{Announced, Report, Route};
+use super::{Announced, Gate, Report, Route};
 use crate::{clock::Time, id, unit::Rate};
 
 /// A request that needs a target.
@@ -94,6 +94,8 @@
     pub limit_version: u64,
     /// Start time of the target.
     pub born: u64,
+    /// Whether requests may still be sent to it; asked just before the first byte.
+    pub gate: Gate,
     /// Time since which a kept connection must have been in use to be used again.
     pub fresh_after: Time,
     /// The host through whose tunnel the request was sent; `None` if it was sent directly.
@@ -170,7 +172,7 @@
     Misdirected,
     /// The target could not be reached; nothing was sent.
     Unreachable,
-    /// Its deadline passed before there was a connection; nothing was sent.
+    /// Its deadline passed before there was a connection, or the target left; nothing was sent.
     Unsent,
     /// The target closed the connection without a complete answer, or sent something else.
     Broken,
--- a/toucanhoist-core/tests/steering.rs
+++ b/toucanhoist-core/tests/steering.rs
@@ -16,6 +16,8 @@
 mod connectivity;
 #[path = "steering/deferral.rs"]
 mod deferral;
+#[path = "steering/leaving.rs"]
+mod leaving;
 #[path = "steering/limit_statements.rs"]
 mod limit_statements;
 #[path = "steering/load.rs"]
--- a/toucanhoist-core/tests/steering/announced.rs
+++ b/toucanhoist-core/tests/steering/announced.rs
@@ -61,7 +61,12 @@
     for (number, (outcome, known, change)) in (0..).zip(answers) {
         // Far enough apart for every limit.
         assert_eq!(send(&mut balancer, number * 10_000, outcome), known, "answer {number}");
-        let learned = |limit| Learned { target: target_id("t1"), limit, source: Source::Answer };
+        let learned = |limit| Learned {
+            target: target_id("t1"),
+            limit,
+            is_leaving: false,
+            source: Source::Answer,
+        };
         let changes: Vec<_> = change.map(learned).into_iter().collect();
         assert_eq!(balancer.take_learned_limits(), changes, "answer {number}");
     }
--- a/toucanhoist-core/tests/steering/limit_statements.rs
+++ b/toucanhoist-core/tests/steering/limit_statements.rs
@@ -17,7 +17,7 @@
 }
 
 fn said(born: u64, version: u64, limit: Option<f64>) -> Statement {
-    Statement { born, version, limit: limit.map(rate) }
+    Statement { born, version, limit: limit.map(rate), is_leaving: false }
 }
 
 #[rstest]
--- a/toucanhoist-core/tests/steering/paths.rs
+++ b/toucanhoist-core/tests/steering/paths.rs
@@ -471,7 +471,8 @@
             Err(Failure::NoHelper)
         } else {
             let address = entry(target).address;
-            self.hosts[helper].balancer.check_tunnel(&target_name(target), address)
+            let now = at(self.now);
+            self.hosts[helper].balancer.check_tunnel(now, &target_name(target), address)
         };
         if let Err(failure) = checked {
             self.add(self.now + TRIP_MS, Event::Connected(race, path, Err(failure)));
--- a/toucanhoist-edge/src/gateway/attempt.rs
+++ b/toucanhoist-edge/src/gateway/attempt.rs
@@ -51,6 +51,8 @@
     /// Sends that may have reached a target.
     sends: u32,
     unreachable: u32,
+    /// Whether nothing was sent in the last attempt.
+    is_unsent: bool,
     /// Whether a target may have run the request.
     may_have_run: bool,
     /// Failure answer of a target, which the caller gets if no later attempt succeeds.
@@ -121,10 +123,10 @@
         deadline: clock.time(request.deadline),
         homes: request.homes.clone(),
         tried: attempts.targets.clone(),
-        attempt: match (attempts.sends, attempts.unreachable) {
-            (0, 0) => Attempt::First,
-            (0, _) => Attempt::Unsent,
-            _ => Attempt::Retry,
+        attempt: match (attempts.targets.is_empty(), attempts.is_unsent) {
+            (true, _) => Attempt::First,
+            (false, true) => Attempt::Unsent,
+            (false, false) => Attempt::Retry,
         },
     };
     let decision = shared.steer.place(placement, request.fingerprint);
@@ -161,6 +163,9 @@
         request_id: &request.id,
         deadline: request.deadline,
         homes: &request.homes,
+        born: ticket.born,
+        gate: &ticket.gate,
+        clock: shared.clock,
         fresh_after: shared.clock.instant(ticket.fresh_after),
     };
     let outcome = shared.targets.run(exchange, || build(shared, request, &ticket.target)).await;
@@ -177,6 +182,9 @@
         }
     }
     let is_tunnelled = lease.ticket().via.is_some();
+    let error = outcome.as_ref().err().map(|failure| failure.error);
+    attempts.is_unsent =
+        matches!(error, Some(target::Error::Withdrawn | target::Error::Unreachable(_)));
     match outcome.map_err(|failure| failure.error) {
         Ok(answer) => handle_answer(shared, request, lease, answer, sent, attempts),
         Err(target::Error::Unreachable(Cause::DeadlinePassed)) => {
@@ -184,6 +192,11 @@
             let detail = format!("no connection to target {} before the deadline", ticket.target);
             Next::Refuse(Refusal::not_run(Code::NoRoom, detail).retry_after(SHED_RETRY_AFTER))
         }
+        // Each attempt goes to another target, so there are few of them.
+        Err(target::Error::Withdrawn) => {
+            lease.end(Outcome::Unsent);
+            Next::Retry
+        }
         Err(target::Error::Overdue) => {
             lease.end(Outcome::Unanswered);
             attempts.may_have_run = true;
--- a/toucanhoist-edge/src/steer.rs
+++ b/toucanhoist-edge/src/steer.rs
@@ -29,7 +29,7 @@
             Refused, RetryTerms, Routes, Settings, Target, Ticket, limit::Learned,
         },
     },
-    toucanhoist_wire::steering::{Limits, Requests, Suspicions, packet},
+    toucanhoist_wire::steering::{Hold, Limits, Requests, Suspicions, packet},
 };
 
 use self::accounts::Accounts;
@@ -85,6 +85,11 @@
     CheckTunnel(id::Target, SocketAddr, oneshot::Sender<Result<(), Failure>>),
     /// The target of a request has begun an answer that announces a limit, or none.
     Announced(Box<Ticket>, Announced),
+    /// An answer of a target says that this incarnation of it leaves.
+    Leaving(id::Target, u64),
+    /// An incarnation of a target wants no requests of this host for some time, nor of the host that carried its
+    /// answer.
+    Hold(id::Target, u64, Duration, Option<id::EntryHost>),
     /// A waiting request was cancelled.
     Cancel(u64),
     /// A target crashed while it ran a request.
@@ -432,12 +437,25 @@
             }
             Input::CheckTunnel(target, address, reply) => {
                 // The other host may have stopped waiting.
-                let _ = reply.send(self.balancer.check_tunnel(&target, address));
+                let _ = reply.send(self.balancer.check_tunnel(now, &target, address));
             }
             Input::Announced(ticket, announced) => {
                 self.balancer.record_announced(now, &ticket, announced);
                 self.log_limits();
             }
+            Input::Leaving(target, born) => {
+                self.balancer.record_leaving(now, &target, born);
+                self.log_limits();
+            }
+            Input::Hold(target, born, time, via) => {
+                self.balancer.hold(now, &target, born, time);
+                if let Some(host) = via.and_then(|via| self.hosts.get(&via)) {
+                    let left_ms = u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+                    let hold = Hold { target: target.to_string(), born, left_ms };
+                    let limits = Limits { limits: Vec::new(), holds: vec![hold] };
+                    self.peers.send(host.peers, packet::Body::Limits(limits));
+                }
+            }
             Input::Cancel(number) => {
                 self.replies.remove(&number);
                 self.balancer.cancel(number);
@@ -519,6 +537,10 @@
                     metrics::counter!("toucanhoist_datagrams_malformed_total").increment(1);
                 }
                 self.balancer.merge_limits(now, reports.into_iter().flatten().collect());
+                for Hold { target, born, left_ms } in limits.holds {
+                    let Ok(target) = target.parse() else { continue };
+                    self.balancer.hold(now, &target, born, Duration::from_millis(left_ms.into()));
+                }
                 self.log_limits();
             }
             // The fleet task handles these.
@@ -559,10 +581,14 @@
         if learned.is_empty() {
             return;
         }
-        for Learned { target, limit, source } in learned {
+        for Learned { target, limit, is_leaving, source } in learned {
             let limit = limit.map_or(Announced::Unlimited, Announced::Limit);
-            let fields: [Field<'_>; 3] =
-                [("target", &target), ("limit", &limit), ("source", &source.as_str())];
+            let fields: [Field<'_>; 4] = [
+                ("target", &target),
+                ("limit", &limit),
+                ("leaving", &is_leaving),
+                ("source", &source.as_str()),
+            ];
             self.journal.note(Event::TargetLimited, &fields);
         }
         // The number of targets is far below the range of exact integers.
@@ -573,7 +599,8 @@
     fn send_limits(&mut self, now: Time) {
         for (name, reports) in self.balancer.due_limit_reports(now) {
             let Some(host) = self.hosts.get(&name) else { continue };
-            let limits = Limits { limits: reports.into_iter().map(Into::into).collect() };
+            let limits =
+                Limits { limits: reports.into_iter().map(Into::into).collect(), holds: Vec::new() };
             self.peers.send(host.peers, packet::Body::Limits(limits));
         }
     }
--- a/toucanhoist-edge/src/target.rs
+++ b/toucanhoist-edge/src/target.rs
@@ -26,14 +26,15 @@
     tokio::time::{self, Instant},
     toucanhoist_core::{
         id,
-        steering::{Announced, Report},
+        steering::{Announced, Gate, HOLD_MAX, Report},
     },
 };
 
 use self::connect::{Connected, Via};
 use crate::{
+    clock::Clock,
     dialect::Dialect,
-    steer::{self, Step},
+    steer::{self, Input, Step},
 };
 
 mod connect;
@@ -143,6 +144,9 @@
     /// No connection could be made; nothing was sent.
     #[error("no connection to the target: {0}")]
     Unreachable(Cause),
+    /// The target left, or wants no requests for now, before the request could be sent; nothing was sent.
+    #[error("the target takes no requests")]
+    Withdrawn,
     /// The connection ended early or carried something other than an answer; the request may have run.
     #[error("no complete answer arrived on the connection: {0}")]
     Broken(Cause),
@@ -169,6 +173,12 @@
     pub deadline: Instant,
     /// Regions that may handle it; empty for all.
     pub homes: &'a [id::Region],
+    /// Start time of the target.
+    pub born: u64,
+    /// Whether requests may be sent to the target.
+    pub gate: &'a Gate,
+    /// Clock of the gate.
+    pub clock: Clock,
     /// Time since which a kept direct connection must have been in use to be used again.
     pub fresh_after: Instant,
 }
@@ -272,20 +282,19 @@
     ) -> Result<Answer, Failure> {
         let endpoint = (exchange.address, exchange.target.clone());
         let begun = Instant::now();
-        let unreachable = |cause| Failure {
-            error: Error::Unreachable(cause),
-            is_kept: false,
-            connecting: begun.elapsed(),
-            via: None,
-        };
+        let unsent =
+            |error| Failure { error, is_kept: false, connecting: begun.elapsed(), via: None };
         loop {
             let connecting = self.connection(&endpoint, &exchange);
             let (connection, is_kept) = match time::timeout_at(exchange.deadline, connecting).await
             {
                 Ok(Ok(connection)) => connection,
-                Ok(Err(cause)) => return Err(unreachable(cause)),
-                Err(_) => return Err(unreachable(Cause::DeadlinePassed)),
+                Ok(Err(cause)) => return Err(unsent(Error::Unreachable(cause))),
+                Err(_) => return Err(unsent(Error::Unreachable(Cause::DeadlinePassed))),
             };
+            if !exchange.gate.is_open(exchange.clock.now()) {
+                return Err(unsent(Error::Withdrawn));
+            }
             let connecting = begun.elapsed();
             let via = connection.via.as_ref().map(|via| via.host.clone());
             let sending = self.send(&exchange, &endpoint, connection, build());
@@ -317,6 +326,7 @@
         };
         let (head, body) = answer.into_parts();
         let dialect = &self.shared.dialect;
+        let is_leaving = self.record_statements(exchange, &head, via.as_ref());
         if head.headers.get(&dialect.request_id).is_some_and(|id| id != exchange.request_id) {
             self.record_stray(endpoint);
             return Err(Error::Stray);
@@ -324,7 +334,6 @@
         let report = head.headers.get(&dialect.load).and_then(|v| parse_load(v.to_str().ok()?));
         let announced = announced(&head.headers, &dialect.limit);
         let not_run = head.headers.contains_key(&dialect.not_run);
-        let is_leaving = head.headers.get(&dialect.leaving).is_some_and(|value| value == "1");
         if via.is_some() && !has_no_body && ends_with_connection(&head) {
             return Err(Error::Broken(Cause::Closed));
         }
@@ -349,6 +358,29 @@
         }))
     }
 
+    /// Records what an answer says about further requests; returns whether the target leaves. It counts from now on,
+    /// whatever becomes of the answer.
+    fn record_statements(&self, exchange: &Exchange<'_>, head: &Parts, via: Option<&Via>) -> bool {
+        // Another target has the address now, and speaks of itself.
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            return false;
+        }
+        let (target, born) = (exchange.target.clone(), exchange.born);
+        let leaving = head.headers.get(&self.shared.dialect.leaving);
+        let is_leaving = leaving.is_some_and(|value| value == "1");
+        if is_leaving {
+            exchange.gate.close();
+            self.shared.steer.send(Input::Leaving(target.clone(), born));
+        }
+        let after = retry_after(&head.headers);
+        if let Some(time) = after.filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE) {
+            exchange.gate.close_until(exchange.clock.now() + time);
+            let via = via.map(|via| via.host.clone());
+            self.shared.steer.send(Input::Hold(target, born, time, via));
+        }
+        is_leaving
+    }
+
     /// Tries the paths of a plan, and keeps the connection.
     pub async fn probe(self, address: SocketAddr, target: id::Target, plan: Vec<Step>) {
         let endpoint = (address, target);
@@ -476,6 +508,15 @@
     seconds.parse().ok().map(Duration::from_secs)
 }
 
+/// Returns the longest time in seconds that `Retry-After` names, bounded by [`HOLD_MAX`]; dates and values that are
+/// not positive count for nothing.
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let values = headers.get_all(header::RETRY_AFTER).iter();
+    let seconds = values.filter_map(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
+    let seconds = seconds.filter(|seconds| *seconds > 0.0).reduce(f64::max)?;
+    Some(Duration::from_secs_f64(seconds.min(HOLD_MAX.as_secs_f64())))
+}
+
 fn parse_load(text: &str) -> Option<Report> {
     let mut numbers = text.split(',').map(|number| number.trim().parse::<u32>());
     let mut next = || numbers.next()?.ok();
--- a/toucanhoist-wire/src/convert/steering.rs
+++ b/toucanhoist-wire/src/convert/steering.rs
@@ -41,13 +41,14 @@
 
 impl From<LimitReport> for steering::Limit {
     fn from(report: LimitReport) -> steering::Limit {
-        let Statement { born, version, limit } = report.statement;
+        let Statement { born, version, limit, is_leaving } = report.statement;
         steering::Limit {
             target: report.target.to_string(),
             born,
             version,
             per_second: limit.map(Rate::as_per_second),
             age_ms: u32::try_from(report.age.as_millis()).unwrap_or(u32::MAX),
+            leaving: is_leaving,
         }
     }
 }
@@ -56,14 +57,19 @@
     type Error = Error;
 
     fn try_from(message: steering::Limit) -> Result<LimitReport, Error> {
-        let steering::Limit { target, born, version, per_second, age_ms } = message;
+        let steering::Limit { target, born, version, per_second, age_ms, leaving } = message;
         let is_rate = |rate: f64| rate.is_finite() && rate >= 0.0;
         if per_second.is_some_and(|rate| !is_rate(rate)) {
             return Err(Error::field("limit"));
         }
         Ok(LimitReport {
             target: target.parse().map_err(|_| Error::field("target"))?,
-            statement: Statement { born, version, limit: per_second.map(Rate::per_second) },
+            statement: Statement {
+                born,
+                version,
+                limit: per_second.map(Rate::per_second),
+                is_leaving: leaving,
+            },
             age: Duration::from_millis(age_ms.into()),
         })
     }
