Take a refusal for that of a request only if it cannot be an earlier one

Cause: a target that writes an earlier refusal once more on a kept connection was believed if the caller sent the same request again on that connection, since both carry the same identifier, or if the refusal carried none.

Change: a kept connection remembers which requests were refused on it (at most 16, then it is not kept) and is not used for these again; a refusal without the identifier promises nothing.

Evidence: an_earlier_refusal_is_not_taken_for_that_of_the_same_request_sent_again fails without the check of the connection (1 request ran that its caller was told had not run) and passes with it. The test of a refusal without identifier was not run on the code before.

--- a/toucanhoist-edge/src/target.rs
+++ b/toucanhoist-edge/src/target.rs
@@ -28,6 +28,7 @@
         id,
         steering::{Announced, Gate, HOLD_MAX, Report},
     },
+    twox_hash::XxHash64,
 };
 
 use self::connect::{Connected, Via};
@@ -56,6 +57,8 @@
 /// Time after which a tunnel is not reused, so that requests return to the direct path when it works, and
 /// leave a host that shuts down.
 const TUNNEL_MAX: Duration = Duration::from_secs(2);
+/// Refused requests after which a connection is not reused.
+const REFUSED_MAX: usize = 16;
 /// Bytes of an answer's body that are buffered before any of it is sent to the caller.
 const BUFFER_BYTES: usize = 256 * 1_024;
 
@@ -92,8 +95,13 @@
     via: Option<Via>,
     since: Instant,
     until: Instant,
+    refused: Refused,
 }
 
+/// Hashes of the identifiers of requests that were refused on a connection. A target may send a refusal once more,
+/// and a caller may send its identifier once more.
+type Refused = Vec<u64>;
+
 impl Idle {
     /// Whether it may carry an exchange now.
     fn is_usable(&self, now: Instant, exchange: &Exchange<'_>) -> bool {
@@ -102,7 +110,10 @@
             Some(via) => is_home(exchange.homes, via.region.as_ref()),
         };
         let idle_max = if exchange.at_most_once { IDLE_MAX_AT_MOST_ONCE } else { IDLE_MAX };
-        is_allowed && now < self.since + idle_max && self.is_open(now)
+        is_allowed
+            && now < self.since + idle_max
+            && self.is_open(now)
+            && !self.refused.contains(&hash(exchange.request_id))
     }
 
     fn is_open(&self, now: Instant) -> bool {
@@ -110,6 +121,10 @@
     }
 }
 
+fn hash(request_id: &str) -> u64 {
+    XxHash64::oneshot(0, request_id.as_bytes())
+}
+
 /// Whether a region may handle a request; an empty list allows all.
 fn is_home(homes: &[id::Region], region: Option<&id::Region>) -> bool {
     homes.is_empty() || region.is_some_and(|region| homes.contains(region))
@@ -317,7 +332,7 @@
         connected: Connected,
         request: Request<Full<Bytes>>,
     ) -> Result<Option<Answer>, Error> {
-        let Connected { mut connection, via } = connected;
+        let Connected { mut connection, via, mut refused } = connected;
         let has_no_body = request.method() == Method::HEAD;
         let answer = match connection.try_send_request(request).await {
             Ok(answer) => answer,
@@ -333,7 +348,9 @@
         }
         let report = head.headers.get(&dialect.load).and_then(|v| parse_load(v.to_str().ok()?));
         let announced = announced(&head.headers, &dialect.limit);
-        let not_run = head.headers.contains_key(&dialect.not_run);
+        // A statement without the identifier may belong to an earlier request.
+        let not_run = head.headers.contains_key(&dialect.not_run)
+            && head.headers.contains_key(&dialect.request_id);
         if via.is_some() && !has_no_body && ends_with_connection(&head) {
             return Err(Error::Broken(Cause::Closed));
         }
@@ -341,8 +358,11 @@
         let (first, rest) = read(body).await?;
         let host = via.as_ref().map(|via| via.host.clone());
         if rest.is_none() {
-            if let Some(until) = until {
-                self.put_back(endpoint.clone(), Connected { connection, via }, until);
+            if not_run {
+                refused.push(hash(exchange.request_id));
+            }
+            if let Some(until) = until.filter(|_| refused.len() <= REFUSED_MAX) {
+                self.put_back(endpoint.clone(), Connected { connection, via, refused }, until);
             }
         }
         Ok(Some(Answer {
@@ -410,21 +430,21 @@
         idle.retain(|found| found.is_open(now));
         // The last one has been idle for the shortest time.
         let index = idle.iter().rposition(|found| found.is_usable(now, exchange))?;
-        let Idle { connection, via, .. } = idle.remove(index);
-        Some(Connected { connection, via })
+        let Idle { connection, via, refused, .. } = idle.remove(index);
+        Some(Connected { connection, via, refused })
     }
 
     fn put_back(&self, endpoint: Endpoint, connected: Connected, until: Instant) {
         let pool = self.clone();
         tokio::spawn(async move {
-            let Connected { mut connection, via } = connected;
+            let Connected { mut connection, via, refused } = connected;
             if connection.ready().await.is_err() {
                 return;
             }
             let since = Instant::now();
             let expires = via.as_ref().map(|via| via.opened + TUNNEL_MAX);
             let until = expires.map_or(until, |expires| until.min(expires));
-            let is_kept = pool.keep(&endpoint, Idle { connection, via, since, until });
+            let is_kept = pool.keep(&endpoint, Idle { connection, via, since, until, refused });
             if is_kept && expires.is_some() {
                 // The host at its end holds descriptors for it.
                 time::sleep_until(until).await;
--- a/toucanhoist-edge/src/target/connect.rs
+++ b/toucanhoist-edge/src/target/connect.rs
@@ -26,7 +26,7 @@
     toucanhoist_store::socket,
 };
 
-use super::{CONNECT_MAX, Cause, Connection, Endpoint, IDLE_MAX, Pool, is_unexpected};
+use super::{CONNECT_MAX, Cause, Connection, Endpoint, IDLE_MAX, Pool, Refused, is_unexpected};
 use crate::{
     peers::tunnel,
     steer::{Input, Step},
@@ -38,6 +38,14 @@
     pub connection: Connection,
     /// The host that carries it, with its region; `None` for a direct connection.
     pub via: Option<Via>,
+    /// Requests that were refused on it.
+    pub refused: Refused,
+}
+
+impl Connected {
+    fn new(connection: Connection, via: Option<Via>) -> Connected {
+        Connected { connection, via, refused: Refused::new() }
+    }
 }
 
 /// A host that carries a tunnel.
@@ -109,11 +117,11 @@
         let outcome = result.as_ref().map(|_| ()).map_err(|failure| *failure);
         self.shared.steer.send(Input::Connected(endpoint.1.clone(), step.path.clone(), outcome));
         let result = result.map_err(|failure| (step.path, failure));
-        if let Err(mpsc::error::SendError(Ok(Connected { connection, via: None }))) =
+        if let Err(mpsc::error::SendError(Ok(Connected { connection, via: None, .. }))) =
             results.send(result)
         {
             // Another path was faster; the connection serves a later request.
-            let connected = Connected { connection, via: None };
+            let connected = Connected::new(connection, None);
             self.put_back(endpoint, connected, Instant::now() + IDLE_MAX);
         }
     }
@@ -123,7 +131,7 @@
             (Path::Direct, _) => {
                 let stream = self.connect(endpoint.0, CONNECT_MAX).await?;
                 let connection = self.handshake(endpoint, TokioIo::new(stream)).await;
-                Ok(Connected { connection: connection.ok_or(Failure::Refused)?, via: None })
+                Ok(Connected::new(connection.ok_or(Failure::Refused)?, None))
             }
             (Path::Tunnel(host), Some(helper)) => {
                 let opening = tunnel::open(helper.address, endpoint.0, &endpoint.1);
@@ -132,7 +140,7 @@
                 let connection = self.handshake(endpoint, stream).await.ok_or(Failure::NoHelper)?;
                 let (host, region) = (host.clone(), helper.region.clone());
                 let via = Via { host, region, opened: Instant::now() };
-                Ok(Connected { connection, via: Some(via) })
+                Ok(Connected::new(connection, Some(via)))
             }
             (Path::Tunnel(_), None) => Err(Failure::NoHelper),
         }
--- a/toucanhoist-edge/tests/edge.rs
+++ b/toucanhoist-edge/tests/edge.rs
@@ -16,6 +16,8 @@
 mod cut;
 #[path = "edge/endless.rs"]
 mod endless;
+#[path = "edge/incomplete.rs"]
+mod incomplete;
 #[path = "edge/leaving.rs"]
 mod leaving;
 #[path = "edge/malformed.rs"]
--- a/toucanhoist-edge/tests/support/mod.rs
+++ b/toucanhoist-edge/tests/support/mod.rs
@@ -12,6 +12,7 @@
 
 use {
     async_trait::async_trait,
+    socket2::SockRef,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
@@ -210,6 +211,13 @@
     AwaitTwo,
     /// Answers with a status, and the value in the header of targets that leave.
     Leave(u16, &'static str),
+    /// Answers 503 and that the request did not run, without the request's identifier.
+    Anonymous,
+    /// Refuses the first request on a connection, sends that refusal once more when a second one arrives, and runs
+    /// the second one.
+    RefusalAgain,
+    /// Sends so many bytes of the head of an answer, and closes the connection, or resets it.
+    Head { bytes: usize, resets: bool },
     /// Answers 503 without running the request, with the value as `Retry-After`.
     Busy(&'static str),
     /// Answers, and names a limit that allows the next request after many seconds.
@@ -293,6 +301,16 @@
                 let leaving = format!("toucanhoist-leaving: {value}\r\n");
                 answer(&format!("{status} Status"), &id, &leaving, path)
             }
+            Behaviour::Anonymous => {
+                "HTTP/1.1 503 Status\r\ntoucanhoist-not-run: 1\r\ncontent-length: 0\r\n\r\n".into()
+            }
+            Behaviour::RefusalAgain => {
+                answer("503 Service Unavailable", &id, "toucanhoist-not-run: 1\r\n", "")
+            }
+            Behaviour::Head { bytes, .. } => {
+                let head = format!("HTTP/1.1 100 Continue\r\n\r\n{complete}");
+                head[..bytes.min(head.len() - path.len() - 1)].to_owned()
+            }
             Behaviour::Busy(after) => {
                 let after = format!("toucanhoist-not-run: 1\r\nretry-after: {after}\r\n");
                 answer("503 Service Unavailable", &id, &after, "")
@@ -309,6 +327,24 @@
         if stream.write_all(text.as_bytes()).await.is_err() || behaviour == Behaviour::Truncate {
             return;
         }
+        if let Behaviour::Head { resets, .. } = behaviour {
+            if resets {
+                // Closing with bytes that were not sent yet resets a connection.
+                let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            }
+            return;
+        }
+        if behaviour == Behaviour::RefusalAgain {
+            // A request that is written after this arrives behind the refusal.
+            let _ = stream.readable().await;
+            if stream.write_all(text.as_bytes()).await.is_err() {
+                return;
+            }
+            if let Some((head, body)) = read(&mut stream).await {
+                requests.lock().expect("no panic").push(format!("run: {head}{body}"));
+            }
+            return;
+        }
         if behaviour == Behaviour::LateCopy {
             time::sleep(LATE_COPY_DELAY).await;
             if stream.write_all(text.as_bytes()).await.is_err() {
