Let hosts of the soak begin with an earlier build, and its targets say that they leave

With SOAK_EARLIER_BUILD hosts run that program until they are first restarted, so that a run upgrades host by host.

--- a/tests/soak/host.rs
+++ b/tests/soak/host.rs
@@ -1,6 +1,7 @@
 //! Entry hosts as processes.
 
 use std::{
+    env,
     fs::{self, File},
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
@@ -22,6 +23,8 @@
 
 /// Time from SIGTERM until the process is killed.
 pub const GRACE: Duration = Duration::from_secs(4);
+/// The program under test.
+const BUILD: &str = env!("CARGO_BIN_EXE_toucanhoist");
 /// Data centres with their regions.
 pub const ZONES: [(&str, &str); 3] = [("n1", "north"), ("n2", "north"), ("s1", "south")];
 
@@ -101,7 +104,7 @@
         let path = folder.join(format!("h{number}.json"));
         fs::write(&path, settings.to_string()).expect("the settings file is writable");
         let log = folder.join(format!("h{number}.log"));
-        let child = Mutex::new(start(&path, &log));
+        let child = Mutex::new(start(&first_build(), &path, &log));
         let (callers, disruptions) = (addresses.callers, AtomicU32::new(0));
         let IpAddr::V4(source) = callers.ip() else { panic!("{callers} is not IPv4") };
         Host { callers, source, store, settings: path, log, child, disruptions }
@@ -155,7 +158,7 @@
         if child.try_wait().expect("a child").is_none() {
             return;
         }
-        *child = start(&self.settings, &self.log);
+        *child = start(Path::new(BUILD), &self.settings, &self.log);
     }
 
     /// Whether the process is running.
@@ -173,9 +176,15 @@
     }
 }
 
-fn start(settings: &Path, log: &Path) -> Child {
+/// Returns the program that hosts run until they are first restarted: an earlier build, if `SOAK_EARLIER_BUILD` names
+/// one, so that a run upgrades host by host.
+fn first_build() -> PathBuf {
+    env::var_os("SOAK_EARLIER_BUILD").map_or_else(|| BUILD.into(), PathBuf::from)
+}
+
+fn start(program: &Path, settings: &Path, log: &Path) -> Child {
     let log = File::options().create(true).append(true).open(log).expect("a log");
-    Command::new(env!("CARGO_BIN_EXE_toucanhoist"))
+    Command::new(program)
         .arg("edge")
         .arg("--settings")
         .arg(settings)
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -3,7 +3,8 @@
 //!
 //! Short runs with fixed seeds are part of the regular tests. To run more seeds:
 //! `SOAK_FROM=100 SOAK_SEEDS=50 cargo test --test soak -- --ignored --nocapture`. `SOAK_HOSTS=40` runs so many
-//! hosts instead of four. The logs of runs with violations are kept, and with `SOAK_KEEP=1` those of all runs.
+//! hosts instead of four. With `SOAK_EARLIER_BUILD=PROGRAM` hosts run that program until they are first restarted.
+//! The logs of runs with violations are kept, and with `SOAK_KEEP=1` those of all runs.
 
 #![allow(missing_docs, reason = "the modules of one test")]
 
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -250,9 +250,13 @@
         self.limit.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn draining_since(&self) -> Option<Instant> {
+        *self.draining_since.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records a violation if a request arrives after the drain time.
     fn check_draining(&self, id: &str) {
-        let since = *self.draining_since.lock().unwrap_or_else(PoisonError::into_inner);
+        let since = self.draining_since();
         let is_late = since.is_some_and(|since| since.elapsed() > DRAIN_TIME);
         if is_late && since.is_some_and(|since| self.steady.was_steady_since(since)) {
             self.ledger.record_violation(format!("{id}: reached {}, which is draining", self.id));
@@ -272,6 +276,9 @@
             .header("x-request-id", id)
             .header("x-server-seal", &self.id)
             .header("x-server-load", format!("{},0,{SLOTS}", running.min(SLOTS)));
+        if self.draining_since().is_some() {
+            response = response.header("server-leaving", "1");
+        }
         if let Some(limit) = &*self.limit() {
             response = response.header("server-limit", limit.per_second.to_string());
         }
