Test that no request is taken late in a planned stop

Played on an idle connection and behind a request under way, 3 s after the start of the stop: the connection ends, nothing reaches the target. Not played: pipelined requests with early answers; open: requests that are taken in the first 2.3 s and wait for a slot.

--- a/toucanhoist-edge/tests/edge.rs
+++ b/toucanhoist-edge/tests/edge.rs
@@ -343,6 +343,40 @@
     leaving.await.expect("a graceful end");
 }
 
+/// Time after the start of a planned stop from which no request is taken: the users' bound.
+const TAKEN_MAX: Duration = Duration::from_secs(3);
+
+/// The connection is idle, or answers a request when the time is reached.
+#[rstest]
+#[case::idle(false)]
+#[case::busy(true)]
+#[tokio::test]
+async fn no_request_is_taken_late_in_a_planned_stop(#[case] is_busy: bool) {
+    let target = FakeTarget::spawn(Behaviour::Answer).await;
+    let (edge, _store) = site(&[("t1", &target)]).await;
+    let mut stream = TcpStream::connect(edge.addresses().callers).await.expect("a connection");
+    let text = |id| request("POST", "/once/a", id, Some(KEY), "");
+    if is_busy {
+        target.set_behaviour(Behaviour::AwaitTwo);
+        stream.write_all(text("r-1").as_bytes()).await.expect("a request");
+    }
+    let leaving = tokio::spawn(edge.shutdown());
+    time::sleep(TAKEN_MAX).await;
+    let before = target.request_count();
+    // The host may have closed the connection already.
+    let _ = stream.write_all(text("r-2").as_bytes()).await;
+    if is_busy {
+        // Ends the first request at its target.
+        target.requests.lock().expect("no panic").push("another".to_owned());
+        let (head, _) = read(&mut stream).await.expect("the answer to the first request");
+        assert_eq!(status(&head), 200);
+        assert_eq!(header(&head, "connection").as_deref(), Some("close"));
+    }
+    assert!(read(&mut stream).await.is_none(), "the late request was answered");
+    leaving.await.expect("a graceful end");
+    assert_eq!(target.request_count(), before + usize::from(is_busy));
+}
+
 #[tokio::test]
 async fn pipelined_requests_are_answered_in_order() {
     let target = FakeTarget::spawn(Behaviour::Answer).await;
