Log by which way a host learned of a target, and how old its knowledge was

target-changed has way and delay_max_ms, the time since the topic was last confirmed; toucanhoist_withdrawal_delay_seconds is the histogram of it, taken when the gate of the target is closed; store-followed (4014) is new.

--- a/toucanhoist-core/src/event.rs
+++ b/toucanhoist-core/src/event.rs
@@ -169,6 +169,8 @@
     StoreRestored 4012 Warn "store-restored"
     /// An answer of the store from before it was restored from a backup was ignored.
     StoreAnswerOutdated 4013 Warn "store-answer-outdated"
+    /// This host began to follow the store, or no longer does.
+    StoreFollowed 4014 Info "store-followed"
     /// The state of a member changed.
     MemberChanged 4101 Info "member-changed"
     /// The configuration was taken from other entry hosts, as the platform could not be read yet.
--- a/toucanhoist-core/src/steering.rs
+++ b/toucanhoist-core/src/steering.rs
@@ -18,6 +18,7 @@
 mod cold;
 mod config;
 mod connectivity;
+mod currency;
 mod deferral;
 mod entry;
 mod gate;
@@ -45,6 +46,7 @@
     cold::ColdLimit,
     config::{AccountTerms, Config, Host, Limits, Part, Route, Routes, ServiceTerms},
     connectivity::Connectivity,
+    currency::{Arrival, Currency, Way},
     entry::{Entry, EntryHost, Key, Target, TargetState, Topic, Value},
     gate::Gate,
     limit::Report as LimitReport,
--- a/toucanhoist-core/src/steering/mirror.rs
+++ b/toucanhoist-core/src/steering/mirror.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use super::{Changes, Connectivity, Entry, Key, Registry, Snapshot, Topic, Version};
+use super::{Changes, Connectivity, Currency, Entry, Key, Registry, Snapshot, Topic, Version};
 use crate::clock::Time;
 
 /// Time for which local knowledge overrides a restored store. Entries of dead targets expire after
@@ -22,6 +22,9 @@
 pub struct Mirror {
     registry: Registry,
     connectivity: Connectivity,
+    currency: Currency,
+    /// When targets had been confirmed before the first removal that is deferred now.
+    deferred_since: Option<Time>,
     /// Since when local knowledge overrides entries of a topic in the restored store.
     overridden_since: BTreeMap<Topic, Time>,
 }
@@ -66,6 +69,7 @@
         let missing = self.registry.missing(topic, version, &entries);
         let removed = self.defer_removals(now, missing);
         let changed = self.registry.replace_with(topic, version, entries, removed);
+        self.currency.confirm(topic, now);
         // A read ends no override; the call only records since when there are any.
         self.expired_overrides(now, topic, version);
         Some(Update { changed, broadcast: None, outage, restored })
@@ -87,6 +91,7 @@
         let mut entries = self.defer_removals(now, entries);
         entries.extend(self.expired_overrides(now, topic, version));
         let (changed, broadcast) = self.registry.apply_changes(topic, version, entries);
+        self.currency.confirm(topic, now);
         Some(Update { changed, broadcast: Some(broadcast), outage, restored: None })
     }
 
@@ -113,11 +118,31 @@
     }
 
     fn defer_removals(&mut self, now: Time, entries: Vec<(Key, Entry)>) -> Vec<(Key, Entry)> {
-        if self.connectivity.defers_removals(now) {
-            self.registry.defer_removals(entries)
-        } else {
-            entries
+        if !self.connectivity.defers_removals(now) {
+            return entries;
         }
+        if self.registry.deferred.is_none() {
+            self.deferred_since = self.currency.confirmed_at(Topic::Targets);
+        }
+        self.registry.defer_removals(entries)
+    }
+
+    /// Records that another host, which knows a topic up to `version`, had this confirmed at a
+    /// time.
+    pub fn confirm(&mut self, topic: Topic, version: Version, time: Time) {
+        if self.registry.version(topic).is_some_and(|known| known >= version) {
+            self.currency.confirm(topic, time);
+        }
+    }
+
+    /// Returns when a topic was last confirmed.
+    pub fn confirmed_at(&self, topic: Topic) -> Option<Time> {
+        self.currency.confirmed_at(topic)
+    }
+
+    /// Returns when targets had been confirmed before the first removal that is deferred now.
+    pub fn deferred_since(&self) -> Option<Time> {
+        self.deferred_since
     }
 
     /// Records that the store does not answer for a topic; returns whether it had answered until
--- a/toucanhoist-core/src/steering/relay.rs
+++ b/toucanhoist-core/src/steering/relay.rs
@@ -128,6 +128,11 @@
         }
     }
 
+    /// Returns the time since enough hosts ranked above this one last sent a heartbeat.
+    pub fn uncovered(&self, now: Time) -> Duration {
+        now.since(self.covered_until(self.rank.unwrap_or_default()))
+    }
+
     /// Returns when enough hosts ranked above `rank` last sent a heartbeat.
     fn covered_until(&self, rank: usize) -> Time {
         // A host that is not known yet counts as ranked above this one.
--- a/toucanhoist-edge/src/fleet.rs
+++ b/toucanhoist-edge/src/fleet.rs
@@ -15,6 +15,7 @@
     },
     toucanhoist_core::{
         clock::Time,
+        event::Event,
         id,
         membership::{self, Detector, Incarnation, Member, Message, State, View},
         steering::{Bootstrap, CatchUp, Era, Mirror, Relay, Routes, Snapshot, Topic, Version},
@@ -272,6 +273,13 @@
     /// Publishes whether this host follows the store, and from which versions.
     fn publish_subscription(&mut self, now: Time) {
         let is_active = self.bootstrap.is_done(now) && self.relay.is_active(now);
+        if is_active != self.subscription.borrow().is_active {
+            let uncovered_ms = self.relay.uncovered(now).as_millis();
+            self.parts.journal.note(
+                Event::StoreFollowed,
+                &[("active", &is_active), ("uncovered_ms", &uncovered_ms)],
+            );
+        }
         if !is_active {
             self.mirror.stop_following();
         }
--- a/toucanhoist-edge/src/fleet/exchange.rs
+++ b/toucanhoist-edge/src/fleet/exchange.rs
@@ -12,7 +12,7 @@
         clock::Time,
         event::Event,
         membership::Message,
-        steering::{Changes, Entry, HEARTBEAT_INTERVAL, Key, Snapshot, Topic, Version},
+        steering::{Changes, Entry, HEARTBEAT_INTERVAL, Key, Snapshot, Topic, Version, Way},
     },
     toucanhoist_wire::steering::{self as wire, Reach, TopicVersion, packet},
 };
@@ -65,6 +65,11 @@
     pub(super) fn handle_heartbeat(&mut self, now: Time, from: SocketAddr, reach: &Reach) {
         self.relay.record_heartbeat(now, from);
         self.mirror.record_watcher_heartbeat(now);
+        for known in &reach.versions {
+            if let Some(topic) = Topic::from_number(known.topic) {
+                self.mirror.confirm(topic, known.version.unwrap_or_default().into(), now);
+            }
+        }
         let is_ahead = reach.versions.iter().any(|known| {
             let topic = Topic::from_number(known.topic);
             let version = Version::from(known.version.unwrap_or_default());
@@ -87,8 +92,9 @@
         };
         let (after, upto) = (packet.after.unwrap_or_default(), packet.upto.unwrap_or_default());
         let changes = Changes { topic, after: after.into(), upto: upto.into(), entries };
+        let arrival = self.arrival(topic, Way::Broadcast);
         let changed = self.mirror.apply_peer_changes(&changes);
-        self.publish(now, &changed);
+        self.publish(now, &changed, arrival);
     }
 
     /// Compares another host's version of the registry with this host's.
@@ -134,11 +140,12 @@
 
     fn merge_snapshot(&mut self, now: Time, from: SocketAddr, snapshot: Snapshot) {
         let is_first = self.routes.borrow().is_none();
+        let arrival = self.arrival(Topic::Targets, Way::Snapshot);
         let changed = self.mirror.merge(now, snapshot);
         if is_first && changed.contains(&Key::Config) {
             self.parts.journal.note(Event::ConfigurationFromPeers, &[("from", &from)]);
         }
-        self.publish(now, &changed);
+        self.publish(now, &changed, arrival);
     }
 }
 
--- a/toucanhoist-edge/src/fleet/notifications.rs
+++ b/toucanhoist-edge/src/fleet/notifications.rs
@@ -8,7 +8,7 @@
         clock::Time,
         event::Event,
         membership::State,
-        steering::{Topic, Update, Version},
+        steering::{Arrival, Topic, Update, Version, Way},
     },
 };
 
@@ -21,17 +21,19 @@
 impl Task {
     /// Handles a notification from the store.
     pub(super) fn handle_notification(&mut self, now: Time, notification: Notification) {
-        let (topic, version, update) = match notification {
+        let (topic, arrival, version, update) = match notification {
             Notification::All(topic, Batch { entries, version }) => {
-                (topic, version, self.mirror.apply_read(now, topic, version, entries))
+                let arrival = self.arrival(topic, Way::Store);
+                (topic, arrival, version, self.mirror.apply_read(now, topic, version, entries))
             }
             Notification::Changed(topic, Batch { entries, version }) => {
-                (topic, version, self.mirror.apply_changes(now, topic, version, entries))
+                let arrival = self.arrival(topic, Way::Store);
+                (topic, arrival, version, self.mirror.apply_changes(now, topic, version, entries))
             }
             Notification::Failed(topic, error) => return self.handle_failure(now, topic, &error),
         };
         match update {
-            Some(update) => self.handle_update(now, topic, version, update),
+            Some(update) => self.handle_update(now, topic, arrival, version, update),
             None => self.parts.journal.note(
                 Event::StoreAnswerOutdated,
                 &[("topic", &topic.as_str()), ("version", &version)],
@@ -39,7 +41,14 @@
         }
     }
 
-    fn handle_update(&mut self, now: Time, topic: Topic, version: Version, update: Update) {
+    fn handle_update(
+        &mut self,
+        now: Time,
+        topic: Topic,
+        arrival: Arrival,
+        version: Version,
+        update: Update,
+    ) {
         let Update { changed, broadcast, outage, restored } = update;
         let (name, journal) = (topic.as_str(), &self.parts.journal);
         if let Some(outage) = outage {
@@ -58,7 +67,7 @@
         if let Some(broadcast) = broadcast {
             self.broadcast_changes(now, &broadcast);
         }
-        self.publish(now, &changed);
+        self.publish(now, &changed, arrival);
         self.publish_subscription(now);
     }
 
@@ -87,7 +96,8 @@
     /// Applies the deferred removals, once an outage can no longer have caused them.
     pub(super) fn apply_deferred_removals(&mut self, now: Time) {
         let Some((changed, changes)) = self.mirror.apply_deferred_removals(now) else { return };
-        self.publish(now, &changed);
+        let arrival = Arrival { way: Way::Deferral, confirmed_at: self.mirror.deferred_since() };
+        self.publish(now, &changed, arrival);
         self.broadcast_changes(now, &changes);
     }
 }
--- a/toucanhoist-edge/src/fleet/publish.rs
+++ b/toucanhoist-edge/src/fleet/publish.rs
@@ -9,15 +9,20 @@
     clock::Time,
     event::Event,
     id,
-    steering::{Key, Routes, Value},
+    steering::{Arrival, Key, Routes, Topic, Value, Way},
 };
 
 use super::{Capacities, Task};
 use crate::steer;
 
 impl Task {
+    /// Returns how a change of a topic arrives that is applied now.
+    pub(super) fn arrival(&self, topic: Topic, way: Way) -> Arrival {
+        Arrival { way, confirmed_at: self.mirror.confirmed_at(topic) }
+    }
+
     /// Logs and publishes the entries that changed.
-    pub(super) fn publish(&mut self, now: Time, changed: &BTreeSet<Key>) {
+    pub(super) fn publish(&mut self, now: Time, changed: &BTreeSet<Key>, arrival: Arrival) {
         if changed.is_empty() {
             return;
         }
@@ -42,6 +47,7 @@
             };
             let version =
                 self.mirror.registry().entry(key).map_or_else(Default::default, |e| e.version);
+            let delay_max = arrival.delay_max(now).map(|delay| delay.as_millis().to_string());
             self.parts.journal.note(
                 Event::TargetChanged,
                 &[
@@ -50,9 +56,11 @@
                     ("state", &state),
                     ("born", &born),
                     ("version", &version),
+                    ("way", &arrival.way.as_str()),
+                    ("delay_max_ms", &delay_max.as_deref().unwrap_or("unknown")),
                 ],
             );
-            self.parts.steer.send(steer::Input::Target(name.clone(), target));
+            self.parts.steer.send(steer::Input::Target(name.clone(), target, arrival));
         }
     }
 
--- a/toucanhoist-edge/src/steer.rs
+++ b/toucanhoist-edge/src/steer.rs
@@ -24,9 +24,9 @@
         id,
         quarantine::{Fingerprint, Quarantine},
         steering::{
-            self, Announced, Balancer, EntryHost, Failure, LOAD_EXCHANGE_HOSTS_MIN,
+            self, Announced, Arrival, Balancer, EntryHost, Failure, LOAD_EXCHANGE_HOSTS_MIN,
             LOAD_EXCHANGE_INTERVAL, LimitReport, Outcome, Path, Placement, PlacementRequest, Probe,
-            Refused, RetryTerms, Routes, Settings, Target, Ticket, limit::Learned,
+            Refused, RetryTerms, Routes, Settings, Target, TargetState, Ticket, limit::Learned,
         },
     },
     toucanhoist_wire::steering::{Hold, Limits, Requests, Suspicions, packet},
@@ -58,13 +58,16 @@
 /// Fraction of the cold rate that is used, since requests may arrive closer together than they are sent.
 const COLD_USED_FRACTION: f64 = 0.9;
 
+/// Histogram of the longest time for which the store can have had the withdrawal of a target, in seconds.
+pub(crate) const WITHDRAWAL_METRIC: &str = "toucanhoist_withdrawal_delay_seconds";
+
 /// A message to the task.
 #[derive(Debug)]
 pub enum Input {
     /// A configuration came into force.
     Config(Arc<Routes>),
     /// The entry of a target changed; `None` if it was removed.
-    Target(id::Target, Option<Target>),
+    Target(id::Target, Option<Target>, Arrival),
     /// Data centres under evacuation.
     Evacuated(BTreeSet<id::DataCentre>),
     /// Entry hosts that have registered.
@@ -411,7 +414,10 @@
                 self.routes = Some(routes);
                 self.set_shares(now);
             }
-            Input::Target(name, target) => self.balancer.set_target(now, &name, target.as_ref()),
+            Input::Target(name, target, arrival) => {
+                self.balancer.set_target(now, &name, target.as_ref());
+                record_withdrawal(now, target.as_ref(), arrival);
+            }
             Input::Evacuated(evacuated) => self.balancer.set_evacuated(now, evacuated),
             Input::Hosts(hosts) => {
                 self.hosts = Arc::new(hosts);
@@ -627,3 +633,12 @@
         }
     }
 }
+
+/// Records how long a target that takes no new requests can have been withdrawn at the store until its gate is
+/// closed here.
+fn record_withdrawal(now: Time, target: Option<&Target>, arrival: Arrival) {
+    let is_withdrawn = target.is_none_or(|target| target.state == TargetState::Draining);
+    let Some(delay) = arrival.delay_max(now).filter(|_| is_withdrawn) else { return };
+    metrics::histogram!(WITHDRAWAL_METRIC, "way" => arrival.way.as_str())
+        .record(delay.as_secs_f64());
+}
