Add a failing test: a feed that the store never answers

The store was away for a moment and lost the calls that waited for changes; their connections live, so each host finds out by its own limit only.

--- a/toucanhoist-edge/tests/edge.rs
+++ b/toucanhoist-edge/tests/edge.rs
@@ -16,6 +16,8 @@
 mod cut;
 #[path = "edge/endless.rs"]
 mod endless;
+#[path = "edge/feed.rs"]
+mod feed;
 #[path = "edge/incomplete.rs"]
 mod incomplete;
 #[path = "edge/leaving.rs"]
