Ask the store again when a feed is not answered, and pass on since when

Cause: a host relied on others for what is in force, and those said that they follow the store, not when it last answered them. A store that is back may have lost the calls that wait (the feed's limit was 11.5 s), a path may be silent for 2 s (USER_TIMEOUT), all of which the heartbeats called connected; each next host then took 0.2 s, and one that had been rejected for 0.7 to 1.5 s held removals back for 2.2 s more.

Change: a topic is asked every 450 ms, and at once again when a call is not answered in time. A host whose knowledge was not confirmed for 1.2 s asks the store itself, in groups that double by rank; while the store rejects it, it asks hosts of other regions. Whoever was served meanwhile refutes a deferral.

--- a/toucanhoist-core/src/steering.rs
+++ b/toucanhoist-core/src/steering.rs
@@ -21,6 +21,7 @@
 mod currency;
 mod deferral;
 mod entry;
+mod feed;
 mod gate;
 pub mod limit;
 mod load;
@@ -46,8 +47,9 @@
     cold::ColdLimit,
     config::{AccountTerms, Config, Host, Limits, Part, Route, Routes, ServiceTerms},
     connectivity::Connectivity,
-    currency::{Arrival, Currency, Way},
+    currency::{Arrival, Confirmation, Currency, Way},
     entry::{Entry, EntryHost, Key, Target, TargetState, Topic, Value},
+    feed::{Feed, FeedFailure},
     gate::Gate,
     limit::Report as LimitReport,
     load::{Load, Observations, Reading, Report},
--- a/toucanhoist-core/src/steering/connectivity.rs
+++ b/toucanhoist-core/src/steering/connectivity.rs
@@ -2,8 +2,9 @@
 //!
 //! The store may be unavailable to all hosts, or reject only this one. Only if it was unavailable to
 //! all, or was restored from a backup, can entries of live targets have expired, so that removals
-//! must be deferred. The two kinds of outage are told apart by evidence that the store serves other
-//! hosts: a heartbeat of a connected host, or a version that cannot predate the outage.
+//! must be deferred. The two kinds of outage are told apart by evidence that the store served other
+//! hosts meanwhile: when it last answered them or confirmed what they know, or a version that cannot
+//! predate the outage.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -25,6 +26,8 @@
     topics: BTreeMap<Topic, State>,
     outage: Option<Outage>,
     defer_until: Time,
+    /// When the outage began after which removals are deferred, and when it ended here.
+    deferred_outage: Option<(Time, Time)>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -39,8 +42,8 @@
     since: Time,
     /// Highest version that this host or others knew before [`PROPAGATION_TIME`] had passed.
     newest_known: Version,
-    /// Last heartbeat of a connected host.
-    last_heartbeat: Option<Time>,
+    /// When the store last served another host, according to the evidence.
+    last_service: Option<Time>,
     /// Since when the store has served some host, according to the evidence.
     available_since: Option<Time>,
 }
@@ -50,12 +53,13 @@
         now >= self.since + PROPAGATION_TIME
     }
 
-    /// Records evidence that the store serves some host; returns since when it does. If heartbeats
-    /// stopped in between, the store was unavailable to all hosts, and counts as available again
-    /// from now on.
-    fn record_availability(&mut self, now: Time) -> Time {
-        let is_interrupted = self.last_heartbeat.is_some_and(|at| now >= at + HEARTBEAT_TIMEOUT);
-        let available_since = self.available_since.filter(|_| !is_interrupted).unwrap_or(now);
+    /// Records evidence that the store serves some host from a time on; returns since when it does.
+    /// If it served none for a while, it was unavailable to all hosts, and counts as available
+    /// again from then on.
+    fn record_availability(&mut self, from: Time) -> Time {
+        let is_interrupted = self.last_service.is_some_and(|at| from >= at + HEARTBEAT_TIMEOUT);
+        let before = self.available_since.filter(|_| !is_interrupted);
+        let available_since = before.map_or(from, |before| before.min(from));
         self.available_since = Some(available_since);
         available_since
     }
@@ -72,7 +76,7 @@
         self.outage.get_or_insert(Outage {
             since: now,
             newest_known: complete,
-            last_heartbeat: None,
+            last_service: None,
             available_since: None,
         });
         true
@@ -87,6 +91,7 @@
         let duration = now.since(since);
         if topic == Topic::Targets && duration >= OUTAGE_MIN {
             self.defer_until = available_since + REMOVAL_DEFERRAL;
+            self.deferred_outage = Some((since, now));
         }
         if !self.topics.values().any(|state| matches!(state, State::Unanswered(_))) {
             self.outage = None;
@@ -97,6 +102,8 @@
     /// Records that the store was restored: entries that the backup lacks may be written again.
     pub fn mark_restored(&mut self, now: Time) {
         self.defer_until = self.defer_until.max(now + REMOVAL_DEFERRAL);
+        // Evidence of service says nothing about what the backup lacks.
+        self.deferred_outage = None;
     }
 
     /// Records that this host no longer follows the store.
@@ -105,12 +112,21 @@
         self.outage = None;
     }
 
-    /// Records the heartbeat of a host that is connected to the store.
-    pub fn record_watcher_heartbeat(&mut self, now: Time) {
-        if let Some(outage) = self.outage.as_mut().filter(|outage| outage.is_past_propagation(now))
-        {
-            outage.record_availability(now);
-            outage.last_heartbeat = Some(now);
+    /// Records the heartbeat of a host that the store last answered at a time.
+    pub fn record_watcher_heartbeat(&mut self, answered_at: Time) {
+        self.record_service(answered_at, answered_at);
+    }
+
+    /// Records that the store served another host all the time between two.
+    pub fn record_service(&mut self, from: Time, until: Time) {
+        if let Some(outage) = self.outage.as_mut().filter(|outage| until > outage.since) {
+            outage.record_availability(from);
+            outage.last_service = outage.last_service.max(Some(until));
+        }
+        // What is left of the outage is too short for entries to expire.
+        let is_refuted = |(since, end): (Time, Time)| from <= since && until + OUTAGE_MIN > end;
+        if self.deferred_outage.is_some_and(is_refuted) {
+            (self.defer_until, self.deferred_outage) = (Time::ZERO, None);
         }
     }
 
@@ -129,6 +145,11 @@
         Topic::ALL.iter().all(|topic| self.topics.get(topic) == Some(&State::Answered))
     }
 
+    /// Whether the store does not answer this host for some topic.
+    pub fn has_outage(&self) -> bool {
+        self.outage.is_some()
+    }
+
     /// Whether removals of targets may be caused by an outage now, so that they must be deferred.
     pub fn defers_removals(&self, now: Time) -> bool {
         now < self.defer_until
--- a/toucanhoist-core/src/steering/currency.rs
+++ b/toucanhoist-core/src/steering/currency.rs
@@ -6,9 +6,18 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use {
+    serde::{Deserialize, Serialize},
+    serde_with::{DurationMilliSeconds, serde_as},
+};
+
 use super::Topic;
 use crate::clock::Time;
 
+/// Time between two confirmations above which the store may have been away in between; twice the
+/// time between two answers.
+const STEADY_GAP_MAX: Duration = Duration::from_millis(900);
+
 /// Way by which a change reached a host.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Way {
@@ -51,21 +60,63 @@
     }
 }
 
+/// What a host tells another one of its confirmations of a topic.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Confirmation {
+    /// Time since the last one.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub age: Duration,
+    /// Time for which each had followed soon after the one before.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub steady: Duration,
+}
+
+/// Confirmations of one topic.
+#[derive(Clone, Copy, Debug)]
+struct Confirmed {
+    at: Time,
+    /// Since when each has followed soon after the one before.
+    steady_since: Time,
+}
+
 /// Last confirmation of each topic.
 #[derive(Debug, Default)]
 pub struct Currency {
-    confirmed_at: BTreeMap<Topic, Time>,
+    confirmed: BTreeMap<Topic, Confirmed>,
+    /// Last answers of the store to this host.
+    answered_at: BTreeMap<Topic, Time>,
 }
 
 impl Currency {
     /// Records that a topic's entries here are all that the store had acknowledged at a time.
     pub fn confirm(&mut self, topic: Topic, time: Time) {
-        let confirmed_at = self.confirmed_at.entry(topic).or_insert(time);
-        *confirmed_at = time.max(*confirmed_at);
+        let new = Confirmed { at: time, steady_since: time };
+        let confirmed = self.confirmed.entry(topic).or_insert(new);
+        if time > confirmed.at + STEADY_GAP_MAX {
+            *confirmed = new;
+        }
+        confirmed.at = time.max(confirmed.at);
+    }
+
+    /// Records an answer of the store to this host.
+    pub fn record_answer(&mut self, topic: Topic, time: Time) {
+        self.answered_at.insert(topic, time);
     }
 
     /// Returns when a topic was last confirmed.
     pub fn confirmed_at(&self, topic: Topic) -> Option<Time> {
-        self.confirmed_at.get(&topic).copied()
+        Some(self.confirmed.get(&topic)?.at)
+    }
+
+    /// Returns when the store last answered this host for a topic.
+    pub fn answered_at(&self, topic: Topic) -> Option<Time> {
+        self.answered_at.get(&topic).copied()
+    }
+
+    /// Returns what to tell another host of a topic.
+    pub fn confirmation(&self, now: Time, topic: Topic) -> Option<Confirmation> {
+        let Confirmed { at, steady_since } = self.confirmed.get(&topic)?;
+        Some(Confirmation { age: now.since(*at), steady: at.since(*steady_since) })
     }
 }
--- a/toucanhoist-core/src/steering/mirror.rs
+++ b/toucanhoist-core/src/steering/mirror.rs
@@ -10,7 +10,10 @@
     time::Duration,
 };
 
-use super::{Changes, Connectivity, Currency, Entry, Key, Registry, Snapshot, Topic, Version};
+use super::{
+    Changes, Confirmation, Connectivity, Currency, Entry, Key, Registry, Snapshot, Topic, Version,
+    relay::HEARTBEAT_TIMEOUT,
+};
 use crate::clock::Time;
 
 /// Time for which local knowledge overrides a restored store. Entries of dead targets expire after
@@ -69,7 +72,7 @@
         let missing = self.registry.missing(topic, version, &entries);
         let removed = self.defer_removals(now, missing);
         let changed = self.registry.replace_with(topic, version, entries, removed);
-        self.currency.confirm(topic, now);
+        self.record_answer(now, topic);
         // A read ends no override; the call only records since when there are any.
         self.expired_overrides(now, topic, version);
         Some(Update { changed, broadcast: None, outage, restored })
@@ -91,7 +94,7 @@
         let mut entries = self.defer_removals(now, entries);
         entries.extend(self.expired_overrides(now, topic, version));
         let (changed, broadcast) = self.registry.apply_changes(topic, version, entries);
-        self.currency.confirm(topic, now);
+        self.record_answer(now, topic);
         Some(Update { changed, broadcast: Some(broadcast), outage, restored: None })
     }
 
@@ -131,10 +134,50 @@
     /// time.
     pub fn confirm(&mut self, topic: Topic, version: Version, time: Time) {
         if self.registry.version(topic).is_some_and(|known| known >= version) {
+            self.confirm_topic(topic, time);
+        }
+    }
+
+    fn record_answer(&mut self, now: Time, topic: Topic) {
+        self.currency.record_answer(topic, now);
+        self.confirm_topic(topic, now);
+    }
+
+    /// Records a confirmation, unless removals of the topic are not in force here yet.
+    fn confirm_topic(&mut self, topic: Topic, time: Time) {
+        if topic != Topic::Targets || self.registry.deferred.is_none() {
             self.currency.confirm(topic, time);
         }
     }
 
+    /// Returns when the oldest confirmation was made of the topics whose changes must be in force
+    /// soon; `None` if one was never confirmed.
+    pub fn all_confirmed_at(&self) -> Option<Time> {
+        Some(self.confirmed_at(Topic::Operator)?.min(self.confirmed_at(Topic::Targets)?))
+    }
+
+    /// Returns when the store last answered this host for all of these topics.
+    pub fn all_answered_at(&self) -> Option<Time> {
+        let answered_at = |topic| self.currency.answered_at(topic);
+        Some(answered_at(Topic::Operator)?.min(answered_at(Topic::Targets)?))
+    }
+
+    /// Whether another host should be asked what the store has confirmed to it: the store does not
+    /// answer here, or has not for a while.
+    pub fn needs_confirmation(&self, now: Time) -> bool {
+        let is_stale = |confirmed_at| now >= confirmed_at + HEARTBEAT_TIMEOUT;
+        self.connectivity.has_outage()
+            || self.connectivity.defers_removals(now)
+            || self.all_confirmed_at().is_some_and(is_stale)
+    }
+
+    /// Returns the entries that are newer than `known`, for another host.
+    pub fn snapshot(&self, now: Time, known: &BTreeMap<Topic, Version>) -> Snapshot {
+        let confirmation = |topic: Topic| Some((topic, self.currency.confirmation(now, topic)?));
+        let confirmed = Topic::ALL.into_iter().filter_map(confirmation).collect();
+        Snapshot { confirmed, ..self.registry.newer_than(known) }
+    }
+
     /// Returns when a topic was last confirmed.
     pub fn confirmed_at(&self, topic: Topic) -> Option<Time> {
         self.currency.confirmed_at(topic)
@@ -171,18 +214,30 @@
         }
     }
 
-    /// Merges another host's snapshot; returns the keys that changed.
-    pub fn merge(&mut self, now: Time, snapshot: Snapshot) -> BTreeSet<Key> {
+    /// Merges another host's snapshot, which was requested at `asked_at`; returns the keys that
+    /// changed.
+    pub fn merge(&mut self, now: Time, asked_at: Time, snapshot: Snapshot) -> BTreeSet<Key> {
         for (topic, version) in &snapshot.versions {
             let known = self.registry.version(*topic);
             if known.is_some_and(|known| known.era < version.era) {
                 self.connectivity.mark_restored(now);
             }
         }
+        if let Some(Confirmation { age, steady }) = snapshot.confirmed.get(&Topic::Targets) {
+            let until = asked_at - *age;
+            self.connectivity.record_service(until - *steady, until);
+        }
+        let (versions, confirmed) = (snapshot.versions.clone(), snapshot.confirmed.clone());
         let removed = self.registry.removed(&snapshot);
         let removed = self.defer_removals(now, removed);
         let entries = self.defer_removals(now, snapshot.entries);
-        self.registry.merge_with(Snapshot { entries, ..snapshot }, removed)
+        let changed = self.registry.merge_with(Snapshot { entries, ..snapshot }, removed);
+        for (topic, version) in versions {
+            if let Some(confirmation) = confirmed.get(&topic) {
+                self.confirm(topic, version, asked_at - confirmation.age);
+            }
+        }
+        changed
     }
 
     /// Applies changes of the store that another host reports; returns the keys that changed.
@@ -190,9 +245,9 @@
         self.registry.apply_peer_changes(changes)
     }
 
-    /// Records the heartbeat of a host that is connected to the store.
-    pub fn record_watcher_heartbeat(&mut self, now: Time) {
-        self.connectivity.record_watcher_heartbeat(now);
+    /// Records the heartbeat of a host that the store last answered at a time.
+    pub fn record_watcher_heartbeat(&mut self, answered_at: Time) {
+        self.connectivity.record_watcher_heartbeat(answered_at);
     }
 
     /// Records that another host knows all changes up to a version.
--- a/toucanhoist-core/src/steering/registry.rs
+++ b/toucanhoist-core/src/steering/registry.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Entry, Era, Key, TargetState, Topic, Value, Version,
+    Confirmation, Entry, Era, Key, TargetState, Topic, Value, Version,
     deferral::Deferred,
     precedence::{reverts, supersedes},
 };
@@ -275,6 +275,7 @@
             versions: self.advertised_versions(),
             whole,
             disputed: self.disputed.iter().map(|(key, row)| (key.clone(), row.clone())).collect(),
+            confirmed: BTreeMap::new(),
         }
     }
 
@@ -342,6 +343,9 @@
     /// Rows of the restored store that are considered outdated.
     #[serde(rename = "doubts")]
     pub disputed: Vec<(Key, Entry)>,
+    /// What the store has confirmed to the host; empty from hosts of earlier versions.
+    #[serde(default)]
+    pub confirmed: BTreeMap<Topic, Confirmation>,
 }
 
 /// Returns the later of two entries if it is a row of a restored store that lists a target which
--- a/toucanhoist-core/src/steering/relay.rs
+++ b/toucanhoist-core/src/steering/relay.rs
@@ -4,10 +4,13 @@
 //! watchers of each region follow the store: the first live members by rank. They send each change
 //! to the other hosts of the region, and a heartbeat with the versions that they know at short
 //! intervals. Hosts rank by the capacity of their machines, since a watcher sends each change many
-//! times over its link, and by rendezvous hashing among equals. When heartbeats come from too few
-//! watchers, further hosts take over in rank order, one after another; a host that receives them
-//! from enough hosts of higher rank stays passive. So two hosts relay changes even if others are
-//! rejected by the store, cut off or slow.
+//! times over its link, and by rendezvous hashing among equals.
+//!
+//! A heartbeat says when the store last answered its sender. When the answers of too few watchers
+//! are recent, further hosts take over in rank order, in groups that double, so that the last host
+//! of a large region is not much later than the first. A host also asks the store itself when what
+//! it knows has not been confirmed for as long, whatever the heartbeats say. So no host depends for
+//! longer on hosts that are rejected by the store, cut off or slow, however many they are.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
@@ -19,11 +22,11 @@
 
 /// Watchers of a region; one may fail without a gap.
 const WATCHERS: usize = 2;
-/// Time without heartbeats from enough hosts after which the next one takes over: two heartbeat
-/// intervals, and a part of the time in which changes must be in force.
+/// Age of the store's answers to the watchers after which the next hosts take over: the interval
+/// of answers and that of heartbeats, and a part of the time in which changes must be in force.
 pub(super) const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Time that a host has to take over and send before the next one does: a call to the store and a
-/// tick.
+/// Time that a group of hosts has to take over and send before the next group does: a call to the
+/// store and a tick.
 const TAKEOVER_STEP: Duration = Duration::from_millis(200);
 /// Time for which a heartbeat is remembered; longer than any takeover timeout.
 const HEARTBEAT_RETENTION: Duration = Duration::from_secs(60);
@@ -42,8 +45,10 @@
     regions: BTreeMap<id::DataCentre, id::Region>,
     started: Time,
     active_from: Time,
-    /// Last heartbeat of each host that is connected to the store.
-    last_heartbeats: BTreeMap<SocketAddr, Time>,
+    /// When the store last answered each host that sent a heartbeat.
+    last_answers: BTreeMap<SocketAddr, Time>,
+    /// When all that this host knows was last confirmed.
+    confirmed_at: Option<Time>,
     /// Capacities of the hosts' machines; 0 for a host that does not report one.
     capacities: BTreeMap<id::EntryHost, u32>,
     /// Live hosts of the region, by rank.
@@ -70,7 +75,8 @@
             regions,
             started: now,
             active_from: if first_start { now + MEMBERSHIP_SETTLE_TIME } else { now },
-            last_heartbeats: BTreeMap::new(),
+            last_answers: BTreeMap::new(),
+            confirmed_at: None,
             capacities: BTreeMap::new(),
             region_hosts: Vec::new(),
             rank: None,
@@ -111,10 +117,15 @@
         self.rank = self.region_hosts.iter().position(|(name, _)| *name == self.host);
     }
 
-    /// Records the heartbeat of a host that is connected to the store.
-    pub fn record_heartbeat(&mut self, now: Time, from: SocketAddr) {
-        self.last_heartbeats.retain(|_, received_at| now < *received_at + HEARTBEAT_RETENTION);
-        self.last_heartbeats.insert(from, now);
+    /// Records the heartbeat of a host that the store last answered at `answered_at`.
+    pub fn record_heartbeat(&mut self, now: Time, from: SocketAddr, answered_at: Time) {
+        self.last_answers.retain(|_, answered_at| now < *answered_at + HEARTBEAT_RETENTION);
+        self.last_answers.insert(from, answered_at);
+    }
+
+    /// Sets when all that this host knows was last confirmed.
+    pub fn set_confirmed(&mut self, confirmed_at: Option<Time>) {
+        self.confirmed_at = confirmed_at;
     }
 
     /// Whether the host follows the store. It relays changes to its region while it is connected.
@@ -122,28 +133,30 @@
         match self.rank.filter(|rank| *rank >= WATCHERS) {
             None => now >= self.active_from,
             Some(rank) => {
-                let timeout = HEARTBEAT_TIMEOUT + TAKEOVER_STEP * (rank - WATCHERS) as u32;
-                now >= self.covered_until(rank) + timeout
+                let timeout = HEARTBEAT_TIMEOUT + TAKEOVER_STEP * (rank / WATCHERS).ilog2();
+                let covered_until = self.covered_until(rank);
+                let current_until = self.confirmed_at.unwrap_or(covered_until).min(covered_until);
+                now >= current_until + timeout
             }
         }
     }
 
-    /// Returns the time since enough hosts ranked above this one last sent a heartbeat.
+    /// Returns the time since the store last answered enough hosts ranked above this one.
     pub fn uncovered(&self, now: Time) -> Duration {
         now.since(self.covered_until(self.rank.unwrap_or_default()))
     }
 
-    /// Returns when enough hosts ranked above `rank` last sent a heartbeat.
+    /// Returns when the store last answered enough hosts ranked above `rank`.
     fn covered_until(&self, rank: usize) -> Time {
         // A host that is not known yet counts as ranked above this one.
         let ranks_higher = |from: &SocketAddr| {
             let other_rank = self.region_hosts.iter().position(|(_, peers)| peers == from);
             other_rank.is_none_or(|other_rank| other_rank < rank)
         };
-        let from_higher = self.last_heartbeats.iter().filter(|(from, _)| ranks_higher(from));
-        let mut heartbeats: Vec<Time> = from_higher.map(|(_, received_at)| *received_at).collect();
-        heartbeats.sort_unstable();
-        heartbeats.iter().rev().nth(WATCHERS - 1).copied().unwrap_or(self.started)
+        let of_higher = self.last_answers.iter().filter(|(from, _)| ranks_higher(from));
+        let mut answers: Vec<Time> = of_higher.map(|(_, answered_at)| *answered_at).collect();
+        answers.sort_unstable();
+        answers.iter().rev().nth(WATCHERS - 1).copied().unwrap_or(self.started)
     }
 
     /// Returns the other hosts of the region.
--- a/toucanhoist-core/tests/steering.rs
+++ b/toucanhoist-core/tests/steering.rs
@@ -26,6 +26,8 @@
 mod observations;
 #[path = "steering/paths.rs"]
 mod paths;
+#[path = "steering/propagation.rs"]
+mod propagation;
 #[path = "steering/registry.rs"]
 mod registry;
 #[path = "steering/relay.rs"]
--- a/toucanhoist-edge/src/fleet.rs
+++ b/toucanhoist-edge/src/fleet.rs
@@ -61,8 +61,8 @@
     Detector(Message),
     /// A notification from the store.
     Store(Notification),
-    /// A snapshot from another host; `None` if the request failed.
-    Snapshot(SocketAddr, Option<Snapshot>),
+    /// A snapshot from another host, with the time of the request; `None` if that failed.
+    Snapshot(SocketAddr, Time, Option<Snapshot>),
     /// A heartbeat of a watcher, with the versions up to which it knows the topics.
     Heartbeat(SocketAddr, Reach),
     /// Changes that a watcher broadcasts.
@@ -182,8 +182,9 @@
     detector
         .add_candidates(parts.settings.seeds.iter().copied().filter(|seed| *seed != own_address));
     let settings = &parts.settings;
+    let now = parts.clock.now();
     let relay = Relay::new(
-        parts.clock.now(),
+        now,
         settings.first_start,
         settings.name.clone(),
         &settings.data_centre,
@@ -193,13 +194,14 @@
     let seeds = settings.seeds.iter().filter(|seed| **seed != own_address && !settings.first_start);
     let seeds: Vec<SocketAddr> = seeds.copied().collect();
     for seed in &seeds {
-        exchange::request_snapshot(queue.clone(), *seed, BTreeMap::new());
+        exchange::request_snapshot(queue.clone(), now, *seed, BTreeMap::new());
     }
     let task = Task {
-        bootstrap: Bootstrap::new(parts.clock.now(), seeds),
+        bootstrap: Bootstrap::new(now, seeds),
         parts,
         relay,
         last_heartbeat: Time::ZERO,
+        last_confirmation_request: Time::ZERO,
         detector,
         mirror: Mirror::default(),
         catch_up: CatchUp::default(),
@@ -229,6 +231,7 @@
     /// Snapshots that this host waits for at its start.
     bootstrap: Bootstrap,
     last_heartbeat: Time,
+    last_confirmation_request: Time,
     detector: Detector,
     mirror: Mirror,
     catch_up: CatchUp,
@@ -266,12 +269,14 @@
         self.publish_view(now);
         self.apply_deferred_removals(now);
         self.request_missing(now);
+        self.request_confirmation(now);
         self.send_heartbeat(now);
         self.publish_subscription(now);
     }
 
     /// Publishes whether this host follows the store, and from which versions.
     fn publish_subscription(&mut self, now: Time) {
+        self.relay.set_confirmed(self.mirror.all_confirmed_at());
         let is_active = self.bootstrap.is_done(now) && self.relay.is_active(now);
         if is_active != self.subscription.borrow().is_active {
             let uncovered_ms = self.relay.uncovered(now).as_millis();
@@ -303,12 +308,14 @@
                 self.send(envelopes);
             }
             Input::Store(notification) => self.handle_notification(now, notification),
-            Input::Snapshot(from, snapshot) => self.handle_snapshot(now, from, snapshot),
+            Input::Snapshot(from, asked_at, snapshot) => {
+                self.handle_snapshot(now, from, asked_at, snapshot);
+            }
             Input::Heartbeat(from, reach) => self.handle_heartbeat(now, from, &reach),
             Input::Changes(changes) => self.handle_changes(now, &changes),
             Input::SnapshotRequest(known, reply) => {
                 // The requester may have stopped waiting.
-                let _ = reply.send(self.mirror.registry().newer_than(&known));
+                let _ = reply.send(self.mirror.snapshot(now, &known));
             }
             Input::Leave => {
                 let envelopes = self.detector.leave(now);
--- a/toucanhoist-edge/src/fleet/exchange.rs
+++ b/toucanhoist-edge/src/fleet/exchange.rs
@@ -4,14 +4,15 @@
 //! heartbeats with the versions up to which they know the topics. A host requests what it has missed as a
 //! snapshot from a host with newer versions.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use {
+    rand::seq::IteratorRandom,
     tokio::sync::mpsc,
     toucanhoist_core::{
         clock::Time,
         event::Event,
-        membership::Message,
+        membership::{Member, Message, State},
         steering::{Changes, Entry, HEARTBEAT_INTERVAL, Key, Snapshot, Topic, Version, Way},
     },
     toucanhoist_wire::steering::{self as wire, Reach, TopicVersion, packet},
@@ -20,25 +21,27 @@
 use super::{Input, Task};
 use crate::{packing, peers};
 
-impl Task {
-    /// Whether this host broadcasts the store's changes to its region.
-    fn is_broadcasting(&self, now: Time) -> bool {
-        self.relay.is_active(now) && self.mirror.is_connected()
-    }
+/// Interval at which a host asks others for confirmations.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(500);
 
+impl Task {
     /// Sends a heartbeat if it is due, and this host follows the store and is connected to it.
     pub(super) fn send_heartbeat(&mut self, now: Time) {
-        if now < self.last_heartbeat + HEARTBEAT_INTERVAL || !self.is_broadcasting(now) {
+        let is_connected = self.relay.is_active(now) && self.mirror.is_connected();
+        if now < self.last_heartbeat + HEARTBEAT_INTERVAL || !is_connected {
             return;
         }
         let versions = self.mirror.registry().advertised_versions();
+        let Some(answered_at) = self.mirror.all_answered_at() else { return };
         if versions.len() < Topic::ALL.len() {
             return;
         }
+        let age_ms = u32::try_from(now.since(answered_at).as_millis()).unwrap_or(u32::MAX);
         self.last_heartbeat = now;
         let encode = |(topic, version): (Topic, Version)| TopicVersion {
             topic: topic.number(),
             version: Some(version.into()),
+            age_ms,
         };
         let versions = versions.into_iter().map(encode).collect();
         self.parts.peers.send_all(self.relay.peers(), packet::Body::Reach(Reach { versions }));
@@ -46,7 +49,7 @@
 
     /// Broadcasts changes to the hosts of the region.
     pub(super) fn broadcast_changes(&self, now: Time, changes: &Changes) {
-        if !self.is_broadcasting(now) || changes.entries.is_empty() {
+        if !self.relay.is_active(now) || changes.entries.is_empty() {
             return;
         }
         // Changes that cannot be packed are requested by other hosts after the next heartbeat.
@@ -63,13 +66,17 @@
 
     /// Handles the heartbeat of a watcher.
     pub(super) fn handle_heartbeat(&mut self, now: Time, from: SocketAddr, reach: &Reach) {
-        self.relay.record_heartbeat(now, from);
-        self.mirror.record_watcher_heartbeat(now);
+        let oldest = reach.versions.iter().map(|known| known.age_ms).max().unwrap_or_default();
+        let answered_at = now - Duration::from_millis(oldest.into());
+        self.relay.record_heartbeat(now, from, answered_at);
+        self.mirror.record_watcher_heartbeat(answered_at);
         for known in &reach.versions {
             if let Some(topic) = Topic::from_number(known.topic) {
-                self.mirror.confirm(topic, known.version.unwrap_or_default().into(), now);
+                let version = known.version.unwrap_or_default().into();
+                self.mirror.confirm(topic, version, answered_at);
             }
         }
+        self.relay.set_confirmed(self.mirror.all_confirmed_at());
         let is_ahead = reach.versions.iter().any(|known| {
             let topic = Topic::from_number(known.topic);
             let version = Version::from(known.version.unwrap_or_default());
@@ -117,7 +124,30 @@
         let Some(from) = self.catch_up.poll(now, self.mirror.registry().complete_version()) else {
             return;
         };
-        request_snapshot(self.queue.clone(), from, self.mirror.registry().versions().clone());
+        self.request_newer(now, from);
+    }
+
+    fn request_newer(&self, now: Time, from: SocketAddr) {
+        let known = self.mirror.registry().versions().clone();
+        request_snapshot(self.queue.clone(), now, from, known);
+    }
+
+    /// Asks a host of another region what the store has confirmed to it, while the store confirms
+    /// nothing here: it may have rejected all hosts of this region, or be away for all.
+    pub(super) fn request_confirmation(&mut self, now: Time) {
+        let is_due = now >= self.last_confirmation_request + CONFIRMATION_INTERVAL;
+        if !is_due || !self.relay.is_active(now) || !self.mirror.needs_confirmation(now) {
+            return;
+        }
+        self.last_confirmation_request = now;
+        let view = self.detector.view(now);
+        let is_remote = |member: &&Member| {
+            member.state == State::Live && !self.relay.is_in_region(&member.data_centre)
+        };
+        let remote = view.members.iter().filter(is_remote).choose(&mut rand::rng());
+        if let Some(host) = remote {
+            self.request_newer(now, host.peers);
+        }
     }
 
     /// Handles another host's snapshot, or the failure to get it.
@@ -125,6 +155,7 @@
         &mut self,
         now: Time,
         from: SocketAddr,
+        asked_at: Time,
         snapshot: Option<Snapshot>,
     ) {
         let is_config = |(key, _): &(Key, Entry)| *key == Key::Config;
@@ -132,16 +163,16 @@
             snapshot.as_ref().is_some_and(|snapshot| snapshot.entries.iter().any(is_config));
         // After a failure, the next message with newer versions causes another request.
         if let Some(snapshot) = snapshot {
-            self.merge_snapshot(now, from, snapshot);
+            self.merge_snapshot(now, from, asked_at, snapshot);
         }
         self.bootstrap.record_answer(from, has_config);
         self.publish_subscription(now);
     }
 
-    fn merge_snapshot(&mut self, now: Time, from: SocketAddr, snapshot: Snapshot) {
+    fn merge_snapshot(&mut self, now: Time, from: SocketAddr, asked_at: Time, snapshot: Snapshot) {
         let is_first = self.routes.borrow().is_none();
         let arrival = self.arrival(Topic::Targets, Way::Snapshot);
-        let changed = self.mirror.merge(now, snapshot);
+        let changed = self.mirror.merge(now, asked_at, snapshot);
         if is_first && changed.contains(&Key::Config) {
             self.parts.journal.note(Event::ConfigurationFromPeers, &[("from", &from)]);
         }
@@ -152,12 +183,13 @@
 /// Requests the entries that another host knows beyond the `known` versions.
 pub(super) fn request_snapshot(
     queue: mpsc::Sender<Input>,
+    now: Time,
     from: SocketAddr,
     known: BTreeMap<Topic, Version>,
 ) {
     tokio::spawn(async move {
         let snapshot = peers::fetch_snapshot(from, known).await.ok();
         // The task may have ended meanwhile.
-        let _ = queue.send(Input::Snapshot(from, snapshot)).await;
+        let _ = queue.send(Input::Snapshot(from, now, snapshot)).await;
     });
 }
--- a/toucanhoist-edge/src/fleet/notifications.rs
+++ b/toucanhoist-edge/src/fleet/notifications.rs
@@ -68,6 +68,7 @@
             self.broadcast_changes(now, &broadcast);
         }
         self.publish(now, &changed, arrival);
+        self.send_heartbeat(now);
         self.publish_subscription(now);
     }
 
@@ -80,7 +81,7 @@
         let hosts: Vec<SocketAddr> =
             live.map(|member| member.peers).sample(&mut rand::rng(), RESTORE_SNAPSHOTS);
         for host in hosts {
-            exchange::request_snapshot(self.queue.clone(), host, BTreeMap::new());
+            exchange::request_snapshot(self.queue.clone(), now, host, BTreeMap::new());
         }
     }
 
@@ -90,6 +91,7 @@
         if self.relay.is_active(now) && self.mirror.mark_unanswered(now, topic) {
             let topic = topic.as_str();
             self.parts.journal.note(Event::PlatformDown, &[("topic", &topic), ("error", error)]);
+            self.request_confirmation(now);
         }
     }
 
--- a/toucanhoist-edge/src/store.rs
+++ b/toucanhoist-edge/src/store.rs
@@ -16,20 +16,13 @@
     },
     toucanhoist_core::{
         id,
-        steering::{Entry, EntryHost, Era, Key, Topic, Version},
+        steering::{Entry, EntryHost, Era, Feed, FeedFailure, Key, Topic, Version},
     },
 };
 
-/// Time for which the store holds a long poll when nothing changes.
-const FOLLOW_WAIT: Duration = Duration::from_secs(10);
-/// Bounds of the exponential backoff after failed calls.
+/// Bounds of the exponential backoff after failed registrations.
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
 const BACKOFF_MAX: Duration = Duration::from_millis(800);
-/// Pauses after a successful call, by topic, so that one call returns a batch of changes.
-const BATCH_INTERVAL_OPERATOR: Duration = Duration::from_millis(20);
-const BATCH_INTERVAL_TARGETS: Duration = Duration::from_millis(150);
-const BATCH_INTERVAL_HOSTS: Duration = Duration::from_millis(1_000);
-
 /// Upper bound of the random delay before hosts register again.
 const REGISTER_JITTER_MAX: Duration = Duration::from_millis(1_000);
 
@@ -42,6 +35,19 @@
     /// The store did not answer, or refused the call.
     #[error("the store is not available: {0}")]
     Unavailable(Box<str>),
+    /// A call that waits for changes had no answer in time.
+    #[error("no answer within {0:?}")]
+    Unanswered(Duration),
+}
+
+impl Error {
+    fn failure(&self) -> FeedFailure {
+        match self {
+            Error::HistoryGone(_) => FeedFailure::HistoryGone,
+            Error::Unavailable(_) => FeedFailure::Refused,
+            Error::Unanswered(_) => FeedFailure::Unanswered,
+        }
+    }
 }
 
 /// Entries of one topic.
@@ -105,33 +111,24 @@
     mut subscription: watch::Receiver<Subscription>,
     notifications: mpsc::Sender<Notification>,
 ) {
-    let mut backoff = BACKOFF_MIN;
-    let mut must_read = false;
-    // A first call without a wait shows at once whether the store can be reached.
-    let mut wait = Duration::ZERO;
+    let mut feed = Feed::new(topic);
     loop {
         if !subscription.borrow().is_active {
-            wait = Duration::ZERO;
+            feed.restart();
         }
         if subscription.wait_for(|subscription| subscription.is_active).await.is_err() {
             return;
         }
         let known = subscription.borrow_and_update().versions.get(&topic).copied();
-        let known = known.filter(|_| !must_read);
+        let known = known.filter(|_| !feed.must_read());
         let outcome = tokio::select! {
-            outcome = call(&*store, topic, known, wait) => outcome,
+            outcome = call(&*store, topic, known, &feed) => outcome,
             Ok(_) = subscription.wait_for(|subscription| !subscription.is_active) => continue,
         };
         let (notification, pause) = match outcome {
-            Ok(notification) => {
-                (must_read, backoff, wait) = (false, BACKOFF_MIN, FOLLOW_WAIT);
-                (notification, batch_interval(topic))
-            }
+            Ok(notification) => (notification, feed.record_answer()),
             Err(error) => {
-                wait = Duration::ZERO;
-                must_read |= matches!(error, Error::HistoryGone(_));
-                let pause = backoff.mul_f64(rand::random_range(0.75..1.25));
-                backoff = (backoff * 2).min(BACKOFF_MAX);
+                let pause = feed.record_failure(error.failure(), rand::random_range(0.75..1.25));
                 (Notification::Failed(topic, error), pause)
             }
         };
@@ -146,14 +143,15 @@
     store: &dyn Store,
     topic: Topic,
     known: Option<Version>,
-    wait: Duration,
+    feed: &Feed,
 ) -> Result<Notification, Error> {
-    match known {
-        None => store.read(topic).await.map(|batch| Notification::All(topic, batch)),
-        Some(after) => {
-            store.follow(topic, after, wait).await.map(|batch| Notification::Changed(topic, batch))
-        }
-    }
+    let Some(after) = known else {
+        return store.read(topic).await.map(|batch| Notification::All(topic, batch));
+    };
+    let (wait, timeout) = (feed.wait(), feed.timeout());
+    let answer = time::timeout(timeout, store.follow(topic, after, wait)).await;
+    let batch = answer.map_err(|_| Error::Unanswered(timeout))??;
+    Ok(Notification::Changed(topic, batch))
 }
 
 /// Registers an entry host, with retries until it succeeds, and again in each new era, since the backup that
@@ -178,11 +176,3 @@
         time::sleep(REGISTER_JITTER_MAX.mul_f64(rand::random())).await;
     }
 }
-
-fn batch_interval(topic: Topic) -> Duration {
-    match topic {
-        Topic::Operator => BATCH_INTERVAL_OPERATOR,
-        Topic::Targets => BATCH_INTERVAL_TARGETS,
-        Topic::Hosts => BATCH_INTERVAL_HOSTS,
-    }
-}
