Add up slots and reported requests without overflow

What callers would see: a target's entry or its load header with counts near 2^32 ends the deciding task in a build with checks, and gives a wrong share in one without. Cause: sums of u32 that other writers choose. The sums are u64 and f64.

--- a/toucanhoist-core/src/steering/balancer/service.rs
+++ b/toucanhoist-core/src/steering/balancer/service.rs
@@ -163,7 +163,7 @@
             let mut supplies: Vec<Supply> =
                 hosts.iter().map(|&hosts| Supply { slots: 0, hosts }).collect();
             for target in self.targets.iter().filter(|target| target.is_usable()) {
-                supplies[target.region.0].slots += target.entry.slots;
+                supplies[target.region.0].slots += u64::from(target.entry.slots);
             }
             split::planned_share(&supplies, topology.region())
         });
--- a/toucanhoist-core/src/steering/balancer/split.rs
+++ b/toucanhoist-core/src/steering/balancer/split.rs
@@ -23,7 +23,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Supply {
     /// Slots of usable targets.
-    pub slots: u32,
+    pub slots: u64,
     /// Entry hosts, as a measure of the region's callers.
     pub hosts: u32,
 }
@@ -31,13 +31,13 @@
 /// Returns the share of a region's requests that other regions should serve, so that its slots are
 /// at most [`UTILISATION_RATIO_MAX`] times as busy as the average.
 pub(super) fn planned_share(supplies: &[Supply], region: Region) -> f64 {
-    let slots: u32 = supplies.iter().map(|supply| supply.slots).sum();
+    let slots: f64 = supplies.iter().map(|supply| supply.slots as f64).sum();
     let hosts: u32 = supplies.iter().map(|supply| supply.hosts).sum();
     let own = supplies[region.0];
-    if slots == 0 || own.hosts == 0 {
+    if slots == 0.0 || own.hosts == 0 {
         return 0.0;
     }
-    let slots_share = f64::from(own.slots) / f64::from(slots);
+    let slots_share = own.slots as f64 / slots;
     let callers_share = f64::from(own.hosts) / f64::from(hosts);
     (1.0 - UTILISATION_RATIO_MAX * slots_share / callers_share).max(0.0)
 }
--- a/toucanhoist-core/src/steering/load.rs
+++ b/toucanhoist-core/src/steering/load.rs
@@ -198,7 +198,7 @@
 
     /// Applies a load report of the target.
     pub fn apply_report(&mut self, now: Time, report: Report) {
-        let total = f64::from(report.running + report.waiting);
+        let total = f64::from(report.running) + f64::from(report.waiting);
         let unattributed = total - f64::from(self.own) - self.peer_requests;
         let decayed = self.unattributed * self.report_decay(now);
         self.unattributed = decayed + (unattributed - decayed) * REPORT_WEIGHT;
--- a/toucanhoist-core/tests/steering/balancer.rs
+++ b/toucanhoist-core/tests/steering/balancer.rs
@@ -359,3 +359,23 @@
     let sent = sent_to_a_silent_target(Outcome::Abandoned, 100);
     assert!((60..=140).contains(&sent), "{sent} of 200");
 }
+
+#[test]
+fn targets_with_the_largest_counts_end_no_decision() {
+    let targets = ["t1", "t2", "t3"].map(|target| (target, "n1", u32::MAX));
+    let mut balancer = balancer(&targets);
+    balancer.set_hosts(at(0), eight_hosts());
+    for number in 0..20 {
+        let now = at(number * 100);
+        // Targets that report so much are full, and later requests wait.
+        let Some(ticket) = place(&mut balancer, now, request(number, now)) else { continue };
+        let report = Report { running: u32::MAX, waiting: u32::MAX, slots: u32::MAX };
+        let outcome = Outcome::Answered {
+            took: Duration::from_millis(100),
+            report: Some(report),
+            announced: Announced::Unlimited,
+            failed: false,
+        };
+        balancer.end(now, &ticket, outcome);
+    }
+}
