--- a/toucanhoist-core/src/steering/feed.rs
+++ b/toucanhoist-core/src/steering/feed.rs
@@ -9,11 +9,14 @@
 
 use super::Topic;
 
-/// Time between two answers while nothing changes, for topics whose changes must be in force soon.
-/// Two of these and a heartbeat interval stay within the time after which other hosts take over.
-const ANSWER_INTERVAL: Duration = Duration::from_millis(450);
+/// Time between two answers about targets while nothing changes. With a heartbeat interval, it stays
+/// below the time after which other hosts take over.
+const ANSWER_INTERVAL_TARGETS: Duration = Duration::from_millis(450);
+/// The same for the configuration. Answers about targets show whether the store answers at all, so
+/// this only bounds the time for which a lost call goes unnoticed.
+const ANSWER_INTERVAL_OPERATOR: Duration = Duration::from_millis(1_350);
 /// The same for entry hosts, which nothing waits for.
-const ANSWER_INTERVAL_HOSTS: Duration = Duration::from_millis(2_000);
+const ANSWER_INTERVAL_HOSTS: Duration = Duration::from_millis(5_000);
 /// Time beyond the wait in which an answer is expected; a slow store takes some 300 ms.
 const ANSWER_MARGIN: Duration = Duration::from_millis(400);
 /// Time-out of a call that does not wait, for a store that is slower still.
@@ -76,8 +79,8 @@
     /// Records an answer; returns the pause before the next call.
     pub fn record_answer(&mut self) -> Duration {
         let (interval, pause) = match self.topic {
-            Topic::Operator => (ANSWER_INTERVAL, BATCH_INTERVAL_OPERATOR),
-            Topic::Targets => (ANSWER_INTERVAL, BATCH_INTERVAL_TARGETS),
+            Topic::Operator => (ANSWER_INTERVAL_OPERATOR, BATCH_INTERVAL_OPERATOR),
+            Topic::Targets => (ANSWER_INTERVAL_TARGETS, BATCH_INTERVAL_TARGETS),
             Topic::Hosts => (ANSWER_INTERVAL_HOSTS, BATCH_INTERVAL_HOSTS),
         };
         (self.must_read, self.backoff, self.wait) = (false, BACKOFF_MIN, interval - pause);
--- a/toucanhoist-core/src/steering/mirror.rs
+++ b/toucanhoist-core/src/steering/mirror.rs
@@ -150,16 +150,9 @@
         }
     }
 
-    /// Returns when the oldest confirmation was made of the topics whose changes must be in force
-    /// soon; `None` if one was never confirmed.
-    pub fn all_confirmed_at(&self) -> Option<Time> {
-        Some(self.confirmed_at(Topic::Operator)?.min(self.confirmed_at(Topic::Targets)?))
-    }
-
-    /// Returns when the store last answered this host for all of these topics.
-    pub fn all_answered_at(&self) -> Option<Time> {
-        let answered_at = |topic| self.currency.answered_at(topic);
-        Some(answered_at(Topic::Operator)?.min(answered_at(Topic::Targets)?))
+    /// Returns when the store last answered this host for a topic.
+    pub fn answered_at(&self, topic: Topic) -> Option<Time> {
+        self.currency.answered_at(topic)
     }
 
     /// Whether another host should be asked what the store has confirmed to it: the store does not
@@ -168,7 +161,7 @@
         let is_stale = |confirmed_at| now >= confirmed_at + HEARTBEAT_TIMEOUT;
         self.connectivity.has_outage()
             || self.connectivity.defers_removals(now)
-            || self.all_confirmed_at().is_some_and(is_stale)
+            || self.confirmed_at(Topic::Targets).is_some_and(is_stale)
     }
 
     /// Returns the entries that are newer than `known`, for another host.
--- a/toucanhoist-edge/src/fleet/exchange.rs
+++ b/toucanhoist-edge/src/fleet/exchange.rs
@@ -32,7 +32,7 @@
             return;
         }
         let versions = self.mirror.registry().advertised_versions();
-        let Some(answered_at) = self.mirror.all_answered_at() else { return };
+        let Some(answered_at) = self.mirror.answered_at(Topic::Targets) else { return };
         if versions.len() < Topic::ALL.len() {
             return;
         }
@@ -76,7 +76,7 @@
                 self.mirror.confirm(topic, version, answered_at);
             }
         }
-        self.relay.set_confirmed(self.mirror.all_confirmed_at());
+        self.relay.set_confirmed(self.mirror.confirmed_at(Topic::Targets));
         let is_ahead = reach.versions.iter().any(|known| {
             let topic = Topic::from_number(known.topic);
             let version = Version::from(known.version.unwrap_or_default());
