--- a/toucanhoist-core/src/event.rs
+++ b/toucanhoist-core/src/event.rs
@@ -171,6 +171,8 @@
     StoreAnswerOutdated 4013 Warn "store-answer-outdated"
     /// This host began to follow the store, or no longer does.
     StoreFollowed 4014 Info "store-followed"
+    /// An entry of the store is not valid, and is not used.
+    EntryUnreadable 4015 Warn "entry-unreadable"
     /// The state of a member changed.
     MemberChanged 4101 Info "member-changed"
     /// The configuration was taken from other entry hosts, as the platform could not be read yet.
--- a/toucanhoist-edge/src/fleet/notifications.rs
+++ b/toucanhoist-edge/src/fleet/notifications.rs
@@ -22,11 +22,13 @@
     /// Handles a notification from the store.
     pub(super) fn handle_notification(&mut self, now: Time, notification: Notification) {
         let (topic, arrival, version, update) = match notification {
-            Notification::All(topic, Batch { entries, version }) => {
+            Notification::All(topic, Batch { entries, version, unreadable }) => {
+                self.log_unreadable(topic, &unreadable);
                 let arrival = self.arrival(topic, Way::Store);
                 (topic, arrival, version, self.mirror.apply_read(now, topic, version, entries))
             }
-            Notification::Changed(topic, Batch { entries, version }) => {
+            Notification::Changed(topic, Batch { entries, version, unreadable }) => {
+                self.log_unreadable(topic, &unreadable);
                 let arrival = self.arrival(topic, Way::Store);
                 (topic, arrival, version, self.mirror.apply_changes(now, topic, version, entries))
             }
@@ -41,6 +43,16 @@
         }
     }
 
+    fn log_unreadable(&self, topic: Topic, unreadable: &[(Box<str>, Box<str>)]) {
+        for (name, reason) in unreadable {
+            let topic = topic.as_str();
+            self.parts.journal.note(
+                Event::EntryUnreadable,
+                &[("topic", &topic), ("entry", name), ("reason", reason)],
+            );
+        }
+    }
+
     fn handle_update(
         &mut self,
         now: Time,
--- a/toucanhoist-edge/src/store.rs
+++ b/toucanhoist-edge/src/store.rs
@@ -57,6 +57,8 @@
     pub entries: Vec<(Key, Entry)>,
     /// Version up to which the entries are complete.
     pub version: Version,
+    /// Names of rows that are not valid, with the reasons.
+    pub unreadable: Vec<(Box<str>, Box<str>)>,
 }
 
 /// Interface to the store.
--- a/toucanhoist-edge/tests/edge/feed.rs
+++ b/toucanhoist-edge/tests/edge/feed.rs
@@ -42,7 +42,7 @@
         let version = Version::from(self.version.load(Ordering::Relaxed));
         let removal = (Key::Target(name("t1")), Entry { version, value: None });
         let entries = if version > after.into() { vec![removal] } else { Vec::new() };
-        Batch { entries, version }
+        Batch { entries, version, ..Batch::default() }
     }
 }
 
--- a/toucanhoist-edge/tests/support/mod.rs
+++ b/toucanhoist-edge/tests/support/mod.rs
@@ -76,7 +76,7 @@
             value: value.clone(),
         };
         let entries = changed.map(|(key, row)| (key.clone(), entry(row))).collect();
-        Batch { entries, version: self.version() }
+        Batch { entries, version: self.version(), ..Batch::default() }
     }
 }
 
