Ask about targets only while the store does not answer, and again before a call ends

What callers would see: after an outage for all, a target that had left just before it gets requests up to 4.7 s later. Cause: a call that the outage swallowed was waited for (1.5 s), the pause after it (up to 1 s) and the deferral (2.2 s) came one after another.

A call without an answer is followed by another after 500 ms while up to four are pending, so that a slow store is still heard; pauses are at most 625 ms, and heartbeats need the topic of targets only. During an outage the two other topics are not asked, which saves two thirds of the calls.

a_host_is_connected_once_all_topics_are_answered tested a rule that is gone; a_topic_is_unanswered_from_its_failure_to_its_next_answer tests the state that decides now, and five cases test which evidence refutes a deferral.

--- a/toucanhoist-core/src/steering/connectivity.rs
+++ b/toucanhoist-core/src/steering/connectivity.rs
@@ -140,9 +140,9 @@
         }
     }
 
-    /// Whether the store answers for all topics.
-    pub fn is_connected(&self) -> bool {
-        Topic::ALL.iter().all(|topic| self.topics.get(topic) == Some(&State::Answered))
+    /// Whether the store does not answer this host for a topic.
+    pub fn is_unanswered(&self, topic: Topic) -> bool {
+        matches!(self.topics.get(&topic), Some(State::Unanswered(_)))
     }
 
     /// Whether the store does not answer this host for some topic.
--- a/toucanhoist-core/src/steering/feed.rs
+++ b/toucanhoist-core/src/steering/feed.rs
@@ -2,8 +2,9 @@
 //!
 //! A call that finds nothing new is held by the store until something changes. The store may lose
 //! such a call while its connection lives, and then never answers it. So a call is held for a short
-//! time only, and one without an answer soon after is followed by another at once. The time of the
-//! last answer thus says how current a host is, within a fraction of a second.
+//! time only, and one without an answer soon after is followed by another; a slow store may answer
+//! either. The time of the last answer thus says how current a host is, within a fraction of a
+//! second.
 
 use std::time::Duration;
 
@@ -19,11 +20,12 @@
 const ANSWER_INTERVAL_HOSTS: Duration = Duration::from_millis(5_000);
 /// Time beyond the wait in which an answer is expected; a slow store takes some 300 ms.
 const ANSWER_MARGIN: Duration = Duration::from_millis(400);
-/// Time-out of a call that does not wait, for a store that is slower still.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Bounds of the exponential backoff after failed calls.
+/// Time after which a call that does not wait is followed by another one.
+const REPEAT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Bounds of the exponential backoff after refused calls. After an outage of the store, a call must
+/// succeed early enough for removals to be deferred and still be in force in time.
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
-const BACKOFF_MAX: Duration = Duration::from_millis(800);
+const BACKOFF_MAX: Duration = Duration::from_millis(500);
 /// Pauses after an answer, by topic, so that one call returns a batch of changes.
 const BATCH_INTERVAL_OPERATOR: Duration = Duration::from_millis(20);
 const BATCH_INTERVAL_TARGETS: Duration = Duration::from_millis(150);
@@ -34,7 +36,7 @@
 pub enum FeedFailure {
     /// The store no longer keeps the changes since the known version.
     HistoryGone,
-    /// There was no answer in time.
+    /// There was no answer yet.
     Unanswered,
     /// The store refused the call, or the connection failed.
     Refused,
@@ -71,9 +73,9 @@
         self.wait
     }
 
-    /// Returns the time within which the next call must be answered.
+    /// Returns the time after which the next call is followed by another one if there is no answer.
     pub fn timeout(&self) -> Duration {
-        if self.wait.is_zero() { CALL_TIMEOUT } else { self.wait + ANSWER_MARGIN }
+        if self.wait.is_zero() { REPEAT_TIMEOUT } else { self.wait + ANSWER_MARGIN }
     }
 
     /// Records an answer; returns the pause before the next call.
@@ -92,8 +94,8 @@
         self.must_read |= failure == FeedFailure::HistoryGone;
         let has_waited = !std::mem::take(&mut self.wait).is_zero();
         // The store may have lost the call, and answer the next one.
-        if failure == FeedFailure::Unanswered && has_waited {
-            return Duration::ZERO;
+        if failure == FeedFailure::Unanswered {
+            return if has_waited { Duration::ZERO } else { BACKOFF_MIN.mul_f64(jitter) };
         }
         let pause = self.backoff.mul_f64(jitter);
         self.backoff = (self.backoff * 2).min(BACKOFF_MAX);
--- a/toucanhoist-core/src/steering/mirror.rs
+++ b/toucanhoist-core/src/steering/mirror.rs
@@ -192,9 +192,9 @@
         self.connectivity.stop_following();
     }
 
-    /// Whether the store answers for all topics.
-    pub fn is_connected(&self) -> bool {
-        self.connectivity.is_connected()
+    /// Whether the store does not answer this host for a topic.
+    pub fn is_unanswered(&self, topic: Topic) -> bool {
+        self.connectivity.is_unanswered(topic)
     }
 
     /// Applies the deferred removals once they can no longer be caused by an outage; returns the
--- a/toucanhoist-core/tests/steering/connectivity.rs
+++ b/toucanhoist-core/tests/steering/connectivity.rs
@@ -75,18 +75,45 @@
 }
 
 #[test]
-fn a_host_is_connected_once_all_topics_are_answered() {
+fn a_topic_is_unanswered_from_its_failure_to_its_next_answer() {
     let mut connectivity = Connectivity::default();
-    assert!(!connectivity.is_connected(), "no topic was read");
     connectivity.mark_answered(at(0), Topic::Targets);
-    connectivity.mark_answered(at(0), Topic::Operator);
-    assert!(!connectivity.is_connected());
-    connectivity.mark_answered(at(0), Topic::Hosts);
-    assert!(connectivity.is_connected());
-    assert!(connectivity.mark_unanswered(at(100), Topic::Hosts, 1.into()));
+    assert!(!connectivity.has_outage());
+    assert!(connectivity.mark_unanswered(at(100), Topic::Targets, 1.into()));
     assert!(
-        !connectivity.mark_unanswered(at(200), Topic::Hosts, 1.into()),
+        !connectivity.mark_unanswered(at(200), Topic::Targets, 1.into()),
         "it was unanswered before"
     );
-    assert!(!connectivity.is_connected());
+    assert!(connectivity.is_unanswered(Topic::Targets) && connectivity.has_outage());
+    assert!(!connectivity.is_unanswered(Topic::Hosts));
+    connectivity.mark_answered(at(300), Topic::Hosts);
+    assert!(connectivity.is_unanswered(Topic::Targets), "another topic was answered");
+    connectivity.mark_answered(at(300), Topic::Targets);
+    assert!(!connectivity.is_unanswered(Topic::Targets) && !connectivity.has_outage());
+}
+
+/// Removals after the host alone was rejected for a second, by when the store served others
+/// without a break, in milliseconds.
+#[rstest]
+#[case::all_the_time(&[(1_400, 500, 1_300)], false)]
+#[case::known_after_the_return(&[(2_300, 500, 2_200)], false)]
+#[case::until_shortly_before_the_return(&[(2_300, 500, 1_600)], false)]
+#[case::from_before_only(&[(2_300, 500, 900)], true)]
+#[case::since_the_return_only(&[(2_900, 2_000, 2_800)], true)]
+fn service_of_others_refutes_a_deferral(
+    #[case] evidence: &[(u64, u64, u64)],
+    #[case] is_deferred: bool,
+) {
+    let mut connectivity = disconnected();
+    let record = |connectivity: &mut Connectivity, before: bool| {
+        for (_, from, until) in evidence.iter().filter(|(at, ..)| (*at < 2_000) == before) {
+            connectivity.record_service(at(*from), at(*until));
+        }
+    };
+    record(&mut connectivity, true);
+    for topic in Topic::ALL {
+        connectivity.mark_answered(at(2_000), topic);
+    }
+    record(&mut connectivity, false);
+    assert_eq!(connectivity.defers_removals(at(3_000)), is_deferred);
 }
--- a/toucanhoist-core/tests/steering/propagation.rs
+++ b/toucanhoist-core/tests/steering/propagation.rs
@@ -219,7 +219,9 @@
                 state.call = None;
                 continue;
             }
-            if state.call.is_none() && world.now >= state.idle_until {
+            let is_available =
+                topic == Topic::Targets || !self.mirror.is_unanswered(Topic::Targets);
+            if state.call.is_none() && world.now >= state.idle_until && is_available {
                 let wait = state.feed.wait().as_millis() as u64;
                 world.calls += 1;
                 state.call = Some(Call {
@@ -284,7 +286,7 @@
     fn send_heartbeat(&mut self, world: &mut World) {
         let now = self.time(world);
         let is_due = world.now >= self.last_heartbeat + HEARTBEAT_INTERVAL.as_millis() as u64;
-        let is_connected = self.relay.is_active(now) && self.mirror.is_connected();
+        let is_connected = self.relay.is_active(now) && !self.mirror.is_unanswered(Topic::Targets);
         let Some(answered_at) = self.mirror.answered_at(Topic::Targets) else { return };
         if !is_due || !is_connected {
             return;
--- a/toucanhoist-edge/src/fleet.rs
+++ b/toucanhoist-edge/src/fleet.rs
@@ -290,8 +290,11 @@
         }
         let era = self.mirror.registry().era();
         self.era.send_if_modified(|current| std::mem::replace(current, era) != era);
-        let subscription =
-            Subscription { is_active, versions: self.mirror.registry().versions().clone() };
+        let subscription = Subscription {
+            is_active,
+            is_available: !self.mirror.is_unanswered(Topic::Targets),
+            versions: self.mirror.registry().versions().clone(),
+        };
         self.subscription.send_if_modified(|current| {
             let changed = *current != subscription;
             *current = subscription;
--- a/toucanhoist-edge/src/fleet/exchange.rs
+++ b/toucanhoist-edge/src/fleet/exchange.rs
@@ -27,7 +27,7 @@
 impl Task {
     /// Sends a heartbeat if it is due, and this host follows the store and is connected to it.
     pub(super) fn send_heartbeat(&mut self, now: Time) {
-        let is_connected = self.relay.is_active(now) && self.mirror.is_connected();
+        let is_connected = self.relay.is_active(now) && !self.mirror.is_unanswered(Topic::Targets);
         if now < self.last_heartbeat + HEARTBEAT_INTERVAL || !is_connected {
             return;
         }
--- a/toucanhoist-edge/src/fleet/notifications.rs
+++ b/toucanhoist-edge/src/fleet/notifications.rs
@@ -104,6 +104,7 @@
             let topic = topic.as_str();
             self.parts.journal.note(Event::PlatformDown, &[("topic", &topic), ("error", error)]);
             self.request_confirmation(now);
+            self.publish_subscription(now);
         }
     }
 
--- a/toucanhoist-edge/src/store.rs
+++ b/toucanhoist-edge/src/store.rs
@@ -12,6 +12,7 @@
     async_trait::async_trait,
     tokio::{
         sync::{mpsc, watch},
+        task::JoinSet,
         time,
     },
     toucanhoist_core::{
@@ -23,6 +24,9 @@
 /// Bounds of the exponential backoff after failed registrations.
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
 const BACKOFF_MAX: Duration = Duration::from_millis(800);
+/// Calls for one topic that may be pending at the same time.
+const CALLS_MAX: usize = 4;
+
 /// Upper bound of the random delay before hosts register again.
 const REGISTER_JITTER_MAX: Duration = Duration::from_millis(1_000);
 
@@ -35,7 +39,7 @@
     /// The store did not answer, or refused the call.
     #[error("the store is not available: {0}")]
     Unavailable(Box<str>),
-    /// A call that waits for changes had no answer in time.
+    /// There is no answer yet to a call.
     #[error("no answer within {0:?}")]
     Unanswered(Duration),
 }
@@ -102,10 +106,19 @@
 pub struct Subscription {
     /// Whether the host follows the store.
     pub is_active: bool,
+    /// Whether the store answers about targets, as far as is known. While it does not, the other
+    /// topics are not asked about: the calls of one topic show when it answers again.
+    pub is_available: bool,
     /// Versions up to which topics are known; a topic without a version is read in full.
     pub versions: BTreeMap<Topic, Version>,
 }
 
+impl Subscription {
+    fn allows(&self, topic: Topic) -> bool {
+        self.is_active && (self.is_available || topic == Topic::Targets)
+    }
+}
+
 /// Follows a topic while the subscription is active, until the receiver is dropped.
 pub async fn follow(
     store: Arc<dyn Store>,
@@ -114,18 +127,23 @@
     notifications: mpsc::Sender<Notification>,
 ) {
     let mut feed = Feed::new(topic);
+    let mut calls = Calls { store, topic, pending: JoinSet::new() };
     loop {
         if !subscription.borrow().is_active {
             feed.restart();
         }
-        if subscription.wait_for(|subscription| subscription.is_active).await.is_err() {
+        let is_due = |subscription: &Subscription| subscription.allows(topic);
+        if subscription.wait_for(is_due).await.is_err() {
             return;
         }
         let known = subscription.borrow_and_update().versions.get(&topic).copied();
         let known = known.filter(|_| !feed.must_read());
         let outcome = tokio::select! {
-            outcome = call(&*store, topic, known, &feed) => outcome,
-            Ok(_) = subscription.wait_for(|subscription| !subscription.is_active) => continue,
+            outcome = calls.ask(known, &feed) => outcome,
+            Ok(_) = subscription.wait_for(|subscription| !subscription.is_active) => {
+                calls.abandon();
+                continue;
+            }
         };
         let (notification, pause) = match outcome {
             Ok(notification) => (notification, feed.record_answer()),
@@ -141,19 +159,58 @@
     }
 }
 
+/// Calls for a topic that have not been answered.
+struct Calls {
+    store: Arc<dyn Store>,
+    topic: Topic,
+    pending: JoinSet<Result<Notification, Error>>,
+}
+
+impl Calls {
+    /// Calls the store, unless too many calls are pending, and returns the first answer to any.
+    async fn ask(&mut self, known: Option<Version>, feed: &Feed) -> Result<Notification, Error> {
+        if self.pending.len() < CALLS_MAX {
+            self.pending.spawn(call(Arc::clone(&self.store), self.topic, known, feed.wait()));
+        }
+        let timeout = feed.timeout();
+        let Ok(answer) = time::timeout(timeout, self.first_answer()).await else {
+            return Err(Error::Unanswered(timeout));
+        };
+        self.abandon();
+        answer
+    }
+
+    /// Returns the first answer; a failure only if no other call is pending.
+    async fn first_answer(&mut self) -> Result<Notification, Error> {
+        let mut failure = Error::Unavailable("the call did not end".into());
+        while let Some(ended) = self.pending.join_next().await {
+            match ended {
+                Ok(Err(error)) if !matches!(error, Error::HistoryGone(_)) => failure = error,
+                Ok(answer) => return answer,
+                // A call that panicked counts as a failed one.
+                Err(error) => failure = Error::Unavailable(error.to_string().into()),
+            }
+        }
+        Err(failure)
+    }
+
+    fn abandon(&mut self) {
+        self.pending = JoinSet::new();
+    }
+}
+
 async fn call(
-    store: &dyn Store,
+    store: Arc<dyn Store>,
     topic: Topic,
     known: Option<Version>,
-    feed: &Feed,
+    wait: Duration,
 ) -> Result<Notification, Error> {
-    let Some(after) = known else {
-        return store.read(topic).await.map(|batch| Notification::All(topic, batch));
-    };
-    let (wait, timeout) = (feed.wait(), feed.timeout());
-    let answer = time::timeout(timeout, store.follow(topic, after, wait)).await;
-    let batch = answer.map_err(|_| Error::Unanswered(timeout))??;
-    Ok(Notification::Changed(topic, batch))
+    match known {
+        None => store.read(topic).await.map(|batch| Notification::All(topic, batch)),
+        Some(after) => {
+            store.follow(topic, after, wait).await.map(|batch| Notification::Changed(topic, batch))
+        }
+    }
 }
 
 /// Registers an entry host, with retries until it succeeds, and again in each new era, since the backup that
--- a/toucanhoist-edge/tests/edge/feed.rs
+++ b/toucanhoist-edge/tests/edge/feed.rs
@@ -77,7 +77,7 @@
 
 fn spawn(store: &Arc<Forgetful>) -> mpsc::Receiver<Notification> {
     let versions = BTreeMap::from(Topic::ALL.map(|topic| (topic, Version::from(1))));
-    let subscription = Subscription { is_active: true, versions };
+    let subscription = Subscription { is_active: true, is_available: true, versions };
     let (sender, receiver) = watch::channel(subscription);
     // The subscription lasts as long as the test.
     std::mem::forget(sender);
