Keep the time that a target names while its entry is missing

What callers see: a target that answered 503 with Retry-After gets requests before that time is over (BUDGET), if its entry lapses and returns for the same start. Cause: the time was kept with the entry. Evidence: the new test of steering leaving failed before ('assertion failed: ... is_none()'). Balancer keeps the times by target and start now, until they expire.

--- a/toucanhoist-core/src/steering/balancer.rs
+++ b/toucanhoist-core/src/steering/balancer.rs
@@ -15,6 +15,7 @@
 use crate::{clock::Time, id};
 
 mod choice;
+mod holds;
 mod paths;
 mod peers;
 mod service;
@@ -24,6 +25,7 @@
 mod typical_load;
 
 use self::{
+    holds::Holds,
     paths::{Paths, Wanted},
     peers::Peers,
     service::Service,
@@ -88,6 +90,7 @@
     targets: HashMap<id::Target, id::Service>,
     peers: Peers,
     limits: Knowledge,
+    holds: Holds,
     paths: Paths,
 }
 
@@ -110,6 +113,7 @@
         Balancer {
             topology,
             limits: Knowledge::new(settings.seed),
+            holds: Holds::default(),
             settings,
             services: HashMap::new(),
             targets: HashMap::new(),
@@ -226,6 +230,7 @@
         let service = service.or_insert_with(|| Service::new(now, self.settings.restarted));
         service.insert(&self.settings, &self.topology, target);
         self.apply_limit(now, name);
+        self.apply_hold(name);
     }
 
     /// Sets the data centres under evacuation. Targets of a data centre whose evacuation ends count
@@ -392,10 +397,16 @@
 
     /// Has an incarnation of a target get no requests of this host for some time.
     pub fn hold(&mut self, now: Time, name: &id::Target, born: u64, time: Duration) {
+        self.holds.record(now, name, born, now + time.min(HOLD_MAX));
+        self.apply_hold(name);
+    }
+
+    /// Applies what is known of the time until which a target wants no requests of this host.
+    fn apply_hold(&mut self, name: &id::Target) {
         let service = self.targets.get(name).and_then(|service| self.services.get_mut(service));
-        let target = service.and_then(|service| service.target_mut(name));
-        if let Some(target) = target.filter(|target| target.entry.born == born) {
-            target.hold(now + time.min(HOLD_MAX));
+        let Some(target) = service.and_then(|service| service.target_mut(name)) else { return };
+        if let Some(until) = self.holds.until(name, target.entry.born) {
+            target.hold(until);
         }
     }
 
--- a/toucanhoist-core/tests/steering/leaving.rs
+++ b/toucanhoist-core/tests/steering/leaving.rs
@@ -180,6 +180,24 @@
     assert!(place(&mut balancer, at(3_000), request(3, at(3_000))).is_some());
 }
 
+#[test]
+fn a_time_that_a_target_names_outlives_an_entry_that_is_missing_for_a_moment() {
+    let mut balancer = balancer(&[("t1", "n1", 4)]);
+    let t1 = target_id("t1");
+    balancer.hold(at(0), &t1, 1, Duration::from_secs(3));
+    balancer.set_target(at(100), &t1, None);
+    // Said while the entry is missing, by the answer to an earlier request.
+    balancer.hold(at(150), &t1, 1, Duration::from_secs(4));
+    balancer.set_target(at(200), &t1, Some(&target("n1", 4)));
+    assert!(place(&mut balancer, at(3_500), request(1, at(3_500))).is_none());
+    assert!(place(&mut balancer, at(4_150), request(2, at(4_150))).is_some());
+    let mut restarted = target("n1", 4);
+    restarted.born = 2;
+    balancer.hold(at(4_200), &t1, 1, Duration::from_secs(4));
+    balancer.set_target(at(4_300), &t1, Some(&restarted));
+    assert!(place(&mut balancer, at(4_300), request(3, at(4_300))).is_some(), "a later start");
+}
+
 #[test]
 fn other_targets_serve_while_one_wants_nothing() {
     let mut balancer = balancer(&[("t1", "n1", 4), ("t2", "n1", 4)]);
