Use no target whose address is that of an entry host

What callers see: 401 for requests that have a key, and requests that go round within the fleet. Cause: an entry of a target may name any address. Evidence: a_target_at_the_address_of_a_host_gets_no_requests, 401 for its first request without this change. entry-unreadable says why it is not used; it is used again when no host has the address any more.

--- a/toucanhoist-edge/src/fleet.rs
+++ b/toucanhoist-edge/src/fleet.rs
@@ -6,7 +6,12 @@
 members, and sends each change to the [`steer`](crate::steer) task ([`publish`]).
 */
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use {
     tokio::{
@@ -196,10 +201,12 @@
     for seed in &seeds {
         exchange::request_snapshot(queue.clone(), now, *seed, BTreeMap::new());
     }
+    let host_addresses = [parts.settings.listen.callers, own_address].into();
     let task = Task {
         bootstrap: Bootstrap::new(now, seeds),
         parts,
         relay,
+        host_addresses,
         last_heartbeat: Time::ZERO,
         last_confirmation_request: Time::ZERO,
         detector,
@@ -230,6 +237,8 @@
     relay: Relay,
     /// Snapshots that this host waits for at its start.
     bootstrap: Bootstrap,
+    /// Addresses of entry hosts, which no target can have.
+    host_addresses: BTreeSet<SocketAddr>,
     last_heartbeat: Time,
     last_confirmation_request: Time,
     detector: Detector,
--- a/toucanhoist-edge/src/fleet/publish.rs
+++ b/toucanhoist-edge/src/fleet/publish.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     sync::Arc,
 };
 
@@ -9,7 +10,7 @@
     clock::Time,
     event::Event,
     id,
-    steering::{Arrival, Key, Routes, Topic, Value, Way},
+    steering::{Arrival, Key, Routes, Target, Topic, Value, Way},
 };
 
 use super::{Capacities, Task};
@@ -37,10 +38,7 @@
         }
         for key in changed {
             let Key::Target(name) = key else { continue };
-            let target = match self.mirror.registry().value(key) {
-                Some(Value::Target(target)) => Some(target.clone()),
-                _ => None,
-            };
+            let target = self.usable_target(key, name);
             let (service, state, born) = match &target {
                 Some(target) => (target.service.as_str(), target.state.as_str(), target.born),
                 None => ("", "gone", 0),
@@ -64,6 +62,36 @@
         }
     }
 
+    /// Returns a target's entry; `None` if there is none that can be used.
+    fn usable_target(&self, key: &Key, name: &id::Target) -> Option<Target> {
+        let Some(Value::Target(target)) = self.mirror.registry().value(key) else { return None };
+        // Requests to an entry host would be forwarded within the fleet again and again.
+        if !self.host_addresses.contains(&target.address) {
+            return Some(target.clone());
+        }
+        let reason = format!("{} is the address of an entry host", target.address);
+        self.parts.journal.note(
+            Event::EntryUnreadable,
+            &[("topic", &Topic::Targets.as_str()), ("entry", name), ("reason", &reason)],
+        );
+        None
+    }
+
+    /// Sets the addresses of entry hosts; publishes the targets again that have one of them.
+    fn set_host_addresses(&mut self, now: Time, addresses: BTreeSet<SocketAddr>) {
+        let former = std::mem::replace(&mut self.host_addresses, addresses);
+        let is_affected = |address: &SocketAddr| {
+            former.contains(address) != self.host_addresses.contains(address)
+        };
+        let entries = self.mirror.registry().entries();
+        let affected = entries.filter(|(_, entry)| {
+            matches!(&entry.value, Some(Value::Target(target)) if is_affected(&target.address))
+        });
+        let affected: BTreeSet<Key> = affected.map(|(key, _)| key.clone()).collect();
+        let arrival = self.arrival(Topic::Targets, Way::Store);
+        self.publish(now, &affected, arrival);
+    }
+
     fn publish_config(&mut self) {
         let Some(Value::Config(config)) = self.mirror.registry().value(&Key::Config) else {
             return;
@@ -98,11 +126,15 @@
         let capacities: Capacities = capacities.collect();
         self.capacities.send_replace(Arc::new(capacities.clone()));
         self.relay.set_capacities(capacities);
+        let listen = &self.parts.settings.listen;
+        let registered = hosts.values().flat_map(|host| [host.callers, host.peers]);
+        let addresses = registered.chain([listen.callers, listen.peers]).collect();
         let own_name = &self.parts.settings.name;
         let others = hosts.iter().filter(|(name, _)| *name != own_name).map(|(_, host)| host.peers);
         self.detector.add_candidates(others);
         self.parts.steer.send(steer::Input::Hosts(hosts));
         self.publish_view(now);
+        self.set_host_addresses(now, addresses);
     }
 
     pub(super) fn publish_view(&mut self, now: Time) {
--- a/toucanhoist-edge/tests/edge.rs
+++ b/toucanhoist-edge/tests/edge.rs
@@ -24,6 +24,8 @@
 mod leaving;
 #[path = "edge/malformed.rs"]
 mod malformed;
+#[path = "edge/odd_entries.rs"]
+mod odd_entries;
 #[path = "edge/restore.rs"]
 mod restore;
 #[path = "edge/streamed.rs"]
