Let half of the soak's hosts lose the store alone while targets leave

The soak played the store away for all, and one host's link to it; never both watchers of a region at once, no removal without notice, and its targets measured from their entry's draining. At the end of a run half of the hosts lose the store only, with watchers among them, one target drains and another is removed without notice; both check against the store's acknowledgement.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -65,6 +65,8 @@
 /// Failures that are tolerated at the host: a number, and one in so many requests.
 const CUT_FAILED_MAX: u32 = 10;
 const CUT_FAILED_ONE_IN: u32 = 50;
+/// Time between the loss of the store and the removals, by seed a multiple of it.
+const STORE_LOSS_LEAD: Duration = Duration::from_millis(400);
 /// Limit that a target names at the end of a run; callers send it twenty times as much without.
 const LIMIT_PER_SECOND: f64 = 2.0;
 /// Time-out for the first successful answer.
@@ -150,6 +152,7 @@
     time::sleep(RECOVERY_SAMPLE).await;
     let after = cluster.ledger.answers();
     violations.extend(cut_a_host(&cluster, seed).await);
+    lose_the_store(&cluster, seed).await;
     limit_a_target(&cluster).await;
     ended.store(true, Ordering::Relaxed);
     while callers.join_next().await.is_some() {}
@@ -202,6 +205,24 @@
     })
 }
 
+/// Cuts half of the hosts off from the store only, with those that follow it for a region among them, and stops
+/// two targets, one of them without notice. The targets check that no host sends them requests too long after
+/// the store's acknowledgement: hosts without the store are told by others.
+async fn lose_the_store(cluster: &Cluster, seed: u64) {
+    let number = usize::try_from(seed).expect("a small number");
+    let hosts = cluster.hosts.iter().enumerate();
+    let cut: Vec<_> = hosts.filter(|(index, _)| index % 2 == number % 2).collect();
+    cut.iter().for_each(|(_, host)| host.store.set_fault(proxy::Fault::StalledDownstream));
+    time::sleep(STORE_LOSS_LEAD * (seed % 4) as u32).await;
+    let (drained, removed) = {
+        let mut targets = cluster.targets.lock().await;
+        let index = number % (targets.len() - 1);
+        (targets.remove(index), targets.remove(index))
+    };
+    tokio::join!(drained.drain(), removed.remove());
+    cut.iter().for_each(|(_, host)| host.store.set_fault(proxy::Fault::None));
+}
+
 /// Has a target name a limit for a while, far below what it got before.
 async fn limit_a_target(cluster: &Cluster) {
     cluster.targets.lock().await[0].set_limit(LIMIT_PER_SECOND);
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -97,6 +97,8 @@
     /// When the store acknowledged that the target drains.
     draining_since: Mutex<Option<Instant>>,
     is_stopped: AtomicBool,
+    /// Whether the target's answers say that it leaves, once it does.
+    says_leaving: AtomicBool,
     limit: Mutex<Option<Limit>>,
 }
 
@@ -120,6 +122,7 @@
             fault: Mutex::default(),
             draining_since: Mutex::default(),
             is_stopped: AtomicBool::new(false),
+            says_leaving: AtomicBool::new(true),
             limit: Mutex::default(),
         });
         let task = tokio::spawn(serve(listener, Arc::clone(&shared)));
@@ -164,6 +167,18 @@
     /// Drains the target, keeps it running for a while, and stops it.
     pub async fn drain(self) {
         self.register("draining");
+        self.stop().await;
+    }
+
+    /// Stops the target without notice: its entry is removed, and nothing else says that it leaves.
+    pub async fn remove(self) {
+        self.shared.says_leaving.store(false, Ordering::Relaxed);
+        self.store.put("servers", &self.id, None);
+        self.stop().await;
+    }
+
+    /// Keeps the target running for a while after the store's acknowledgement, and stops it.
+    async fn stop(self) {
         *self.shared.draining_since.lock().unwrap_or_else(PoisonError::into_inner) =
             Some(Instant::now());
         time::sleep(DRAIN_TIME + Duration::from_millis(1_500)).await;
@@ -276,7 +291,7 @@
             .header("x-request-id", id)
             .header("x-server-seal", &self.id)
             .header("x-server-load", format!("{},0,{SLOTS}", running.min(SLOTS)));
-        if self.draining_since().is_some() {
+        if self.draining_since().is_some() && self.says_leaving.load(Ordering::Relaxed) {
             response = response.header("server-leaving", "1");
         }
         if let Some(limit) = &*self.limit() {
