--- a/toucanhoist-core/src/steering/mirror.rs
+++ b/toucanhoist-core/src/steering/mirror.rs
@@ -209,18 +209,19 @@
 
     /// Merges another host's snapshot, which was requested at `asked_at`; returns the keys that
     /// changed.
-    pub fn merge(&mut self, now: Time, asked_at: Time, snapshot: Snapshot) -> BTreeSet<Key> {
+    pub fn merge(&mut self, now: Time, asked_at: Time, mut snapshot: Snapshot) -> BTreeSet<Key> {
         for (topic, version) in &snapshot.versions {
             let known = self.registry.version(*topic);
             if known.is_some_and(|known| known.era < version.era) {
                 self.connectivity.mark_restored(now);
             }
         }
-        if let Some(Confirmation { age, steady }) = snapshot.confirmed.get(&Topic::Targets) {
+        let (versions, confirmed) =
+            (snapshot.versions.clone(), std::mem::take(&mut snapshot.confirmed));
+        if let Some(Confirmation { age, steady }) = confirmed.get(&Topic::Targets) {
             let until = asked_at - *age;
             self.connectivity.record_service(until - *steady, until);
         }
-        let (versions, confirmed) = (snapshot.versions.clone(), snapshot.confirmed.clone());
         let removed = self.registry.removed(&snapshot);
         let removed = self.defer_removals(now, removed);
         let entries = self.defer_removals(now, snapshot.entries);
--- a/toucanhoist-edge/src/fleet/publish.rs
+++ b/toucanhoist-edge/src/fleet/publish.rs
@@ -79,6 +79,9 @@
 
     /// Sets the addresses of entry hosts; publishes the targets again that have one of them.
     fn set_host_addresses(&mut self, now: Time, addresses: BTreeSet<SocketAddr>) {
+        if addresses == self.host_addresses {
+            return;
+        }
         let former = std::mem::replace(&mut self.host_addresses, addresses);
         let is_affected = |address: &SocketAddr| {
             former.contains(address) != self.host_addresses.contains(address)
