--- a/toucanhoist-core/tests/steering/relay.rs
+++ b/toucanhoist-core/tests/steering/relay.rs
@@ -107,29 +107,29 @@
     assert_eq!(last.max(), Some(Some(2_200)));
 }
 
-#[test]
-fn a_watcher_that_the_store_no_longer_answers_covers_nobody() {
+/// Relay of the third host, which has heard both watchers for two seconds. The store answered the
+/// second one until `last_answer`, in milliseconds.
+fn third_host(last_answer: u64) -> Relay {
     let mut hosts = hosts_by_rank();
-    let addresses: Vec<SocketAddr> = hosts.iter().map(|(address, _)| *address).collect();
-    let relay = &mut hosts[2].1;
+    let watchers = [hosts[0].0, hosts[1].0];
+    let (_, mut relay) = hosts.swap_remove(2);
     for millis in (0..=2_000).step_by(500) {
-        relay.record_heartbeat(at(millis), addresses[0], at(millis));
-        relay.record_heartbeat(at(millis), addresses[1], at(millis.min(900)));
+        relay.record_heartbeat(at(millis), watchers[0], at(millis));
+        relay.record_heartbeat(at(millis), watchers[1], at(millis.min(last_answer)));
     }
+    relay
+}
+
+#[test]
+fn a_watcher_that_the_store_no_longer_answers_covers_nobody() {
+    let relay = third_host(900);
     assert!(!relay.is_active(at(2_000)));
     assert!(relay.is_active(at(2_100)), "1,200 ms after the last answer");
 }
 
 #[test]
 fn a_host_whose_knowledge_is_not_confirmed_asks_the_store_itself() {
-    let mut hosts = hosts_by_rank();
-    let addresses: Vec<SocketAddr> = hosts.iter().map(|(address, _)| *address).collect();
-    let relay = &mut hosts[2].1;
-    for millis in (0..=2_000).step_by(500) {
-        addresses[..2]
-            .iter()
-            .for_each(|from| relay.record_heartbeat(at(millis), *from, at(millis)));
-    }
+    let mut relay = third_host(2_000);
     relay.set_confirmed(Some(at(900)));
     assert!(!relay.is_active(at(2_000)));
     assert!(relay.is_active(at(2_100)));
