--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -6,8 +6,8 @@
     net::SocketAddr,
     path::Path,
     sync::{
-        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Mutex,
     },
     thread,
     time::{Duration, Instant},
@@ -17,8 +17,8 @@
     client,
     host::{Fleet, ZONES},
     http::Connection,
-    instance::{Fault, Instance, SERVICE, Site},
-    record::{Record, lock},
+    instance::{Fault, Instance, Site, SERVICE},
+    record::{lock, Record},
     store::Store,
 };
 
@@ -62,7 +62,13 @@
     store.put("op", "config", Some(&config()));
     let (runs, next_seal) = (Mutex::default(), AtomicU64::new(1));
     let begun = Mutex::default();
-    let site = Arc::new(Site { record: record.clone(), store: Arc::clone(&store), begun, runs, next_seal });
+    let site = Arc::new(Site {
+        record: record.clone(),
+        store: Arc::clone(&store),
+        begun,
+        runs,
+        next_seal,
+    });
     let start = |number: usize| Instance::start(number, ZONES[number % ZONES.len()].0, 15, &site);
     let instances: Vec<_> = (0..INSTANCES).map(start).collect::<Result<_, _>>().map_err(error)?;
     let fleet = Fleet::start(HOSTS, program, &store).map_err(error)?;
@@ -103,12 +109,19 @@
 
 impl Deployment {
     /// Six of ten instances spoil 3 in 100 of their answers for five seconds, while clients send requests.
-    fn spoil(&mut self, fault: Fault, with_trouble: bool, count: fn(&Deployment) -> usize) -> Result<usize, String> {
+    fn spoil(
+        &mut self,
+        fault: Fault,
+        with_trouble: bool,
+        count: fn(&Deployment) -> usize,
+    ) -> Result<usize, String> {
         let clients: Vec<_> = (0..18).map(|number| self.spawn_client(number)).collect();
         thread::sleep(Duration::from_secs(3));
         let faulty = &self.instances[..FAULTY];
         if with_trouble {
-            self.site.record.line("trouble begins: six of ten instances spoil 3 in 100 of their answers");
+            self.site
+                .record
+                .line("trouble begins: six of ten instances spoil 3 in 100 of their answers");
             faulty.iter().for_each(|instance| instance.set_fault(Some((fault, 33))));
         }
         thread::sleep(Duration::from_secs(5));
@@ -147,8 +160,14 @@
     fn check_service(&self) -> Result<(), String> {
         let seen = lock(&self.seen);
         let served = seen.iter().filter(|seen| matches!(seen.outcome, Ok((200, _)))).count();
-        self.site.record.line(&format!("{served} of {} requests were answered with 200", seen.len()));
-        if served * 10 < seen.len() * 9 { Err("fewer than nine in ten requests were served".into()) } else { Ok(()) }
+        self.site
+            .record
+            .line(&format!("{served} of {} requests were answered with 200", seen.len()));
+        if served * 10 < seen.len() * 9 {
+            Err("fewer than nine in ten requests were served".into())
+        } else {
+            Ok(())
+        }
     }
 
     /// Clients send four short requests behind a long one on each connection; while the trouble lasts, an instance
@@ -181,7 +200,8 @@
         let runs = lock(&self.site.runs);
         let whole: BTreeSet<&str> =
             runs.iter().filter(|run| run.is_whole).map(|run| run.id.as_str()).collect();
-        let passed_on: Vec<&String> = lost.iter().filter(|id| whole.contains(id.as_str())).collect();
+        let passed_on: Vec<&String> =
+            lost.iter().filter(|id| whole.contains(id.as_str())).collect();
         for id in &passed_on {
             self.site.record.line(&format!("LOST: {id} ran at a sound instance, and its connection was closed without an answer"));
         }
@@ -192,7 +212,8 @@
     /// more memory than a machine has are killed and started again, as the platform does.
     fn upload(&mut self, with_trouble: bool) -> Result<usize, String> {
         self.instances.iter().for_each(|instance| instance.work_ms.store(1_160, Ordering::Relaxed));
-        let usual: Vec<_> = (0..HOSTS * UPLOADERS).map(|number| self.spawn_uploader(number, 16)).collect();
+        let usual: Vec<_> =
+            (0..HOSTS * UPLOADERS).map(|number| self.spawn_uploader(number, 16)).collect();
         let (begun, mut hot) = (Instant::now(), Vec::new());
         let (mut highest, mut kills, mut down) = ([0; HOSTS], [0; HOSTS], [None; HOSTS]);
         while begun.elapsed() < Duration::from_secs(22) {
@@ -213,7 +234,9 @@
                 highest[number] = memory.max(highest[number]);
                 if memory > MEMORY_MAX {
                     let mb = memory >> 20;
-                    self.site.record.line(&format!("host h{number} uses {mb} MB, more than its machine has, and is killed"));
+                    self.site.record.line(&format!(
+                        "host h{number} uses {mb} MB, more than its machine has, and is killed"
+                    ));
                     host.kill();
                     kills[number] += 1;
                     down[number] = Some(begun.elapsed());
@@ -224,11 +247,17 @@
         for client in usual.into_iter().chain(hot) {
             client.join().map_err(|_| "a client failed")?;
         }
-        let highest: Vec<String> = highest.iter().map(|bytes| format!("{} MB", bytes >> 20)).collect();
-        self.site.record.line(&format!("highest memory of the hosts: {}; killed {kills:?} times", highest.join(", ")));
+        let highest: Vec<String> =
+            highest.iter().map(|bytes| format!("{} MB", bytes >> 20)).collect();
+        self.site.record.line(&format!(
+            "highest memory of the hosts: {}; killed {kills:?} times",
+            highest.join(", ")
+        ));
         let seen = lock(&self.seen);
         let served = seen.iter().filter(|seen| matches!(seen.outcome, Ok((200, _)))).count();
-        self.site.record.line(&format!("{served} of {} requests were answered with 200", seen.len()));
+        self.site
+            .record
+            .line(&format!("{served} of {} requests were answered with 200", seen.len()));
         if served == 0 {
             return Err("no upload was served".into());
         }
@@ -236,7 +265,9 @@
         let mut lost = 0;
         for Seen { id, outcome, .. } in seen.iter() {
             if let (Err(error), true) = (outcome, begun.contains(id)) {
-                self.site.record.line(&format!("LOST: {id} was passed on to an instance, and its connection ended: {error}"));
+                self.site.record.line(&format!(
+                    "LOST: {id} was passed on to an instance, and its connection ended: {error}"
+                ));
                 lost += 1;
             }
         }
@@ -245,7 +276,8 @@
 
     /// A client that uploads one body after the other, on a connection that it keeps.
     fn spawn_uploader(&self, number: usize, seconds: u64) -> thread::JoinHandle<()> {
-        let (site, seen, next) = (Arc::clone(&self.site), Arc::clone(&self.seen), Arc::clone(&self.next));
+        let (site, seen, next) =
+            (Arc::clone(&self.site), Arc::clone(&self.seen), Arc::clone(&self.next));
         let address = self.fleet.hosts[number % HOSTS].callers;
         thread::spawn(move || {
             let mut kept: Option<Connection> = None;
@@ -350,11 +382,13 @@
     let mut breaks = 0;
     for Seen { id, outcome, .. } in lock(&deployment.seen).iter() {
         let Ok((200, seal)) = outcome else { continue };
-        let is_own = seal.as_deref().is_some_and(|seal| {
-            seals.get(id.as_str()).is_some_and(|seals| seals.contains(seal))
-        });
+        let is_own = seal
+            .as_deref()
+            .is_some_and(|seal| seals.get(id.as_str()).is_some_and(|seals| seals.contains(seal)));
         if !is_own {
-            deployment.site.record.line(&format!("MIXED: {id} was answered with the seal {seal:?} of another answer"));
+            deployment.site.record.line(&format!(
+                "MIXED: {id} was answered with the seal {seal:?} of another answer"
+            ));
             breaks += 1;
         }
     }
@@ -376,7 +410,10 @@
             breaks += 1;
         }
         if matches!(outcome, Ok((408 | 421 | 429 | 503, _))) && !ran_at.is_empty() {
-            deployment.site.record.line(&format!("REFUSED: {id} was answered {outcome:?} and ran at {}", ran_at[0]));
+            deployment
+                .site
+                .record
+                .line(&format!("REFUSED: {id} was answered {outcome:?} and ran at {}", ran_at[0]));
             breaks += 1;
         }
     }
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -28,7 +28,8 @@
 
 /// Returns the head of a request.
 pub fn head(method: &str, path: &str, id: &str, remaining: Duration, length: usize) -> String {
-    let length = if method == "GET" { String::new() } else { format!("Content-Length: {length}\r\n") };
+    let length =
+        if method == "GET" { String::new() } else { format!("Content-Length: {length}\r\n") };
     format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Remaining-Ms: {}\r\n\
          Authorization: Bearer {KEY}\r\n{length}\r\n",
--- a/review/standin/host.rs
+++ b/review/standin/host.rs
@@ -72,7 +72,14 @@
             let log = fleet.folder.join(format!("h{number}.log"));
             let child = spawn(program, &file, &log)?;
             let [callers, readiness, ..] = addresses.tcp;
-            fleet.hosts.push(Host { callers, readiness, program: program.into(), settings: file, log, child });
+            fleet.hosts.push(Host {
+                callers,
+                readiness,
+                program: program.into(),
+                settings: file,
+                log,
+                child,
+            });
         }
         let end = Instant::now() + START_MAX;
         while !fleet.hosts.iter().all(|host| client::is_ready(host.readiness)) {
@@ -103,7 +110,10 @@
     /// Starts the process again after it was killed; only the first start of all is a bootstrap.
     pub fn restart(&mut self) -> io::Result<()> {
         let settings = fs::read_to_string(&self.settings)?;
-        fs::write(&self.settings, settings.replace("\"first_start\":true", "\"first_start\":false"))?;
+        fs::write(
+            &self.settings,
+            settings.replace("\"first_start\":true", "\"first_start\":false"),
+        )?;
         self.child = spawn(&self.program, &self.settings, &self.log)?;
         Ok(())
     }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -63,7 +63,9 @@
                 return Ok(Some(Head { start, headers: headers.collect() }));
             }
             match self.fill() {
-                Err(error) if self.buffer.is_empty() && error.kind() == ErrorKind::UnexpectedEof => {
+                Err(error)
+                    if self.buffer.is_empty() && error.kind() == ErrorKind::UnexpectedEof =>
+                {
                     return Ok(None);
                 }
                 filled => filled?,
--- a/review/standin/instance.rs
+++ b/review/standin/instance.rs
@@ -5,8 +5,8 @@
     io::Write,
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc, Mutex,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+        Arc, Mutex,
     },
     thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -14,7 +14,7 @@
 
 use crate::{
     http::{Connection, Head},
-    record::{Record, lock},
+    record::{lock, Record},
     store::Store,
 };
 
@@ -73,7 +73,12 @@
 }
 
 impl Instance {
-    pub fn start(number: usize, zone: &'static str, work_ms: u64, site: &Arc<Site>) -> std::io::Result<Arc<Instance>> {
+    pub fn start(
+        number: usize,
+        zone: &'static str,
+        work_ms: u64,
+        site: &Arc<Site>,
+    ) -> std::io::Result<Arc<Instance>> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
         let instance = Arc::new(Instance {
@@ -129,7 +134,11 @@
         // A host that closes its connection, or an idle connection, ends the loop.
         while let Ok(Some(head)) = connection.head() {
             if let Some(bytes) = late.take() {
-                self.site.record.line(&format!("{} sends {} bytes that belong to no request", self.id, bytes.len()));
+                self.site.record.line(&format!(
+                    "{} sends {} bytes that belong to no request",
+                    self.id,
+                    bytes.len()
+                ));
                 if connection.stream.write_all(&bytes).is_err() {
                     return;
                 }
@@ -144,12 +153,20 @@
     }
 
     /// Handles a request; returns whether the connection stays open.
-    fn handle(&self, connection: &mut Connection, head: &Head, held: u32, late: &mut Option<Vec<u8>>) -> bool {
+    fn handle(
+        &self,
+        connection: &mut Connection,
+        head: &Head,
+        held: u32,
+        late: &mut Option<Vec<u8>>,
+    ) -> bool {
         let id = head.header("x-request-id").unwrap_or_default().to_owned();
         lock(&self.site.begun).insert(id.clone());
         let mut length = 0;
         if connection.body(head, |piece| length += piece.len()).is_err() {
-            self.site.record.line(&format!("{} did not get the whole of {id} ({length} bytes)", self.id));
+            self.site
+                .record
+                .line(&format!("{} did not get the whole of {id} ({length} bytes)", self.id));
             return false;
         }
         let expected = head.header("x-expect-instance");
@@ -167,11 +184,17 @@
         thread::sleep(Duration::from_millis(self.work_ms.load(Ordering::Relaxed)));
         let body = body_of(head.second(), &seal);
         let count = self.answers.fetch_add(1, Ordering::Relaxed);
-        let fault = lock(&self.fault).filter(|(_, every)| count % every == 0).map(|(fault, _)| fault);
+        let fault =
+            lock(&self.fault).filter(|(_, every)| count % every == 0).map(|(fault, _)| fault);
         // Only long answers are cut, which are the same share of all.
         let fault = fault.filter(|fault| *fault != Fault::Truncated || body.len() > 1_000);
         let is_whole = fault != Some(Fault::Truncated);
-        lock(&self.site.runs).push(Run { id: id.clone(), instance: self.id.clone(), seal: seal.clone(), is_whole });
+        lock(&self.site.runs).push(Run {
+            id: id.clone(),
+            instance: self.id.clone(),
+            seal: seal.clone(),
+            is_whole,
+        });
         let rest = format!(
             "X-Server-Seal: {seal}\r\nX-Server-Load: {},0,{SLOTS}\r\nContent-Length: {}\r\n\r\n",
             held.min(SLOTS),
@@ -193,7 +216,9 @@
             None => {}
         }
         let is_sent = connection.stream.write_all(&answer).is_ok();
-        self.site.record.line(&format!("{} answers {id} with 200, seal {seal}, whole: {is_whole}", self.id));
+        self.site
+            .record
+            .line(&format!("{} answers {id} with 200, seal {seal}, whole: {is_whole}", self.id));
         is_sent && is_whole
     }
 }
