review: two hosts hold one tenant's rate at the same time

A machine is added while the store turns it away. It counts itself among the registered hosts, finds itself to be the holder of a tenant's rate and uses it; the others don't know of it and keep the former holder.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -1,7 +1,8 @@
 //! The cases.
 
 use std::{
-    path::Path,
+    net::SocketAddr,
+    path::{Path, PathBuf},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -12,7 +13,7 @@
 
 use crate::{
     client::{Client, KEYS},
-    host::{Host, MEMORY},
+    host::{Host, MEMORY, Place, Plan},
     instance::{Instance, Manner},
     record::Record,
     store::Store,
@@ -29,8 +30,10 @@
 /// A small deployment: a store, a host and an instance.
 pub struct Stage {
     pub host: Host,
+    place: Place,
     instance: Instance,
     store: Store,
+    folder: PathBuf,
     record: Record,
 }
 
@@ -39,13 +42,16 @@
 
 impl Stage {
     /// Starts the deployment, and waits until a request is answered.
-    pub fn start(folder: &Path, record: &Record) -> Result<Stage, String> {
+    pub fn start(folder: &Path, place: Place, record: &Record) -> Result<Stage, String> {
         let store = Store::serve();
         store.put("op", "config", &configuration(7, &[tenant("cuka620", &KEYS)]));
         let manner = Manner::default();
-        let instance = Instance::start("i-7f3a91c2", "wuno96b", SLOTS, manner, &store, record);
-        let host = Host::start(folder, store.address, record)?;
-        let stage = Stage { host, instance, store, record: record.clone() };
+        let instance = Instance::start("i-7f3a91c2", "wuno96b", SLOTS, place.zone, manner, &store, record);
+        let name = format!("front-{}-1", place.zone);
+        let plan = Plan { name, place, first_start: true, seed: None, store: store.address };
+        let host = Host::start(folder, &plan, record)?;
+        let (folder, record) = (folder.to_owned(), record.clone());
+        let stage = Stage { host, place, instance, store, folder, record };
         stage.wait_until_served()?;
         Ok(stage)
     }
@@ -73,6 +79,19 @@
         self.instance.set_manner(manner);
     }
 
+    fn other_instance(&self, service: &'static str, manner: Manner) -> Instance {
+        let (zone, store) = (self.place.zone, &self.store);
+        Instance::start("i-02d9e6b4", service, SLOTS, zone, manner, store, &self.record)
+    }
+
+    /// Starts a further host, which knows the first one.
+    fn other_host(&self, number: u32, first_start: bool, store: SocketAddr) -> Result<Host, String> {
+        let name = format!("front-{}-{number}", self.place.zone);
+        let seed = Some(self.host.addresses.peers);
+        let plan = Plan { name, place: self.place, first_start, seed, store };
+        Host::start(&self.folder, &plan, &self.record)
+    }
+
     fn has_begun(&self, request: &str) -> bool {
         let begun = self.instance.begun.lock().expect("no holder of the lock panics");
         begun.iter().any(|known| known == request)
@@ -91,6 +110,7 @@
         "pipeline" => pipeline(stage, has_trouble),
         "keepalive" => keepalive(stage, has_trouble),
         "part" => part(stage, has_trouble),
+        "quota" => quota(stage, has_trouble),
         "tenant" => new_tenant(stage, has_trouble),
         "surplus" => surplus(stage, has_trouble),
         _ => Err(format!("no case {case}")),
@@ -99,9 +119,14 @@
 
 /// A tenant without a quota.
 fn tenant(name: &str, keys: &[&str]) -> String {
+    limited_tenant(name, keys, 0, 0)
+}
+
+/// A tenant with a quota.
+fn limited_tenant(name: &str, keys: &[&str], rate: u32, burst: u32) -> String {
     let keys = keys.join(r#"",""#);
     format!(
-        r#"{{"name":"{name}","apiKeys":["{keys}"],"priority":1,"ratePerS":0,"burst":0,"homeRegions":[]}}"#
+        r#"{{"name":"{name}","apiKeys":["{keys}"],"priority":1,"ratePerS":{rate},"burst":{burst},"homeRegions":[]}}"#
     )
 }
 
@@ -344,7 +369,7 @@
     const WORK: Duration = Duration::from_millis(20);
     let sound = Manner { work: WORK, ..Manner::default() };
     let _other =
-        Instance::start("i-02d9e6b4", "wuno96b", SLOTS, sound, &stage.store, &stage.record);
+        stage.other_instance("wuno96b", sound);
     stage.manner(|manner| {
         *manner = sound;
         if has_trouble {
@@ -381,7 +406,7 @@
 /// of an instance of another service.
 fn part(stage: &Stage, has_trouble: bool) -> Outcome {
     let sound = Manner { work: Duration::from_millis(20), ..Manner::default() };
-    let other = Instance::start("i-02d9e6b4", "kafi81c", SLOTS, sound, &stage.store, &stage.record);
+    let other = stage.other_instance("kafi81c", sound);
     stage.manner(|manner| *manner = sound);
     let address = other.address;
     let row = format!(
@@ -452,3 +477,75 @@
         format!("CONFIG: {} requests were handled as only the older version allows: {wrong:?}", wrong.len())
     }))
 }
+
+/// A third machine is added to a zone, and the store turns it away for a while. One tenant sends more than its
+/// quota to all of them.
+fn quota(stage: &Stage, has_trouble: bool) -> Outcome {
+    const TENANT: &str = "bemo114";
+    const KEY: &str = "key-of-bemo114-3w9x";
+    const RATE: u32 = 60;
+    const BURST: u32 = 60;
+    /// `quotaWindowS`, `quotaOvershoot` and `quotaSlack`.
+    const WINDOW: Duration = Duration::from_secs(5);
+    const OVERSHOOT: f64 = 0.1;
+    const SLACK: f64 = 20.0;
+    /// Clients of the tenant at each machine, and the pause of each after an answer.
+    const CLIENTS: usize = 4;
+    const PAUSE: Duration = Duration::from_millis(50);
+    const LOAD: Duration = Duration::from_millis(6_400);
+    let second = stage.other_host(2, true, stage.store.address)?;
+    let tenants = [limited_tenant(TENANT, &[KEY], RATE, BURST)];
+    stage.store.put("op", "config", &configuration(8, &tenants));
+    stage.manner(|manner| manner.work = Duration::from_millis(2));
+    thread::sleep(Duration::from_secs(4));
+    let is_refused = Arc::new(AtomicBool::new(has_trouble));
+    let refused_since = Instant::now();
+    let added = stage.other_host(3, false, stage.store.serve_some(&is_refused))?;
+    thread::sleep(Duration::from_secs(1));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut clients = Vec::new();
+    for host in [&stage.host, &second, &added] {
+        let address = host.addresses.callers;
+        for number in 0..CLIENTS {
+            let is_over = is_over.clone();
+            clients.push(thread::spawn(move || {
+                let mut seen = [0, 0];
+                let Ok(mut client) = Client::connect(address) else { return seen };
+                client.key = KEY;
+                for count in 0.. {
+                    if is_over.load(Ordering::SeqCst) {
+                        break;
+                    }
+                    let id = format!("{TENANT}-{}-{number}-{count}", address.port());
+                    let sent = client.send("GET", &id, DEADLINE, 0, None);
+                    let Ok(answer) = sent.and_then(|()| client.answer(&|| {})) else { break };
+                    seen[usize::from(answer.status() != 200)] += 1;
+                    thread::sleep(PAUSE);
+                }
+                seen
+            }));
+        }
+    }
+    thread::sleep(LOAD);
+    is_over.store(true, Ordering::SeqCst);
+    let refused_s = refused_since.elapsed().as_secs_f64();
+    is_refused.store(false, Ordering::SeqCst);
+    let seen: Vec<[u32; 2]> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
+    let [answered, others] = [0, 1].map(|kind| seen.iter().map(|seen| seen[kind]).sum::<u32>());
+    stage.record.line(format!("clients: {answered} answers with 200, {others} others"));
+    if has_trouble {
+        stage.record.line(format!("store: turned the added machine away for {refused_s:.1} s"));
+    }
+    let times = stage.instance.times.lock().expect("no holder of the lock panics").clone();
+    let begun: Vec<Instant> =
+        times.iter().filter(|(id, _)| id.starts_with(TENANT)).map(|(_, at)| *at).collect();
+    let in_window = |from: &Instant| {
+        begun.iter().filter(|at| **at >= *from && **at < *from + WINDOW).count()
+    };
+    let most = begun.iter().map(in_window).max().unwrap_or(0);
+    let limit =
+        (f64::from(RATE) * WINDOW.as_secs_f64() + f64::from(BURST)) * (1.0 + OVERSHOOT) + SLACK;
+    let summary = format!("{most} requests of {TENANT} run in {WINDOW:?}, {limit:.0} allowed");
+    stage.record.line(&summary);
+    Ok((most as f64 > limit).then(|| format!("QUOTA: {summary}")))
+}
--- a/review/standin-2/host.rs
+++ b/review/standin-2/host.rs
@@ -22,12 +22,30 @@
 #[derive(Clone, Copy)]
 pub struct Addresses {
     pub callers: SocketAddr,
-    pub readiness: SocketAddr,
+    readiness: SocketAddr,
     directory: SocketAddr,
-    peers: SocketAddr,
+    pub peers: SocketAddr,
     metrics: SocketAddr,
 }
 
+/// A zone and its region.
+#[derive(Clone, Copy)]
+pub struct Place {
+    pub zone: &'static str,
+    pub region: &'static str,
+}
+
+/// What the settings of a host say beside its addresses.
+pub struct Plan {
+    pub name: String,
+    pub place: Place,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
+    /// Address for other hosts of a host that runs already.
+    pub seed: Option<SocketAddr>,
+    pub store: SocketAddr,
+}
+
 /// A host. Its process is killed with the last clone.
 #[derive(Clone)]
 pub struct Host {
@@ -40,14 +58,14 @@
 
 impl Host {
     /// Starts a host and waits until it is ready.
-    pub fn start(folder: &Path, store: SocketAddr, record: &Record) -> Result<Host, String> {
+    pub fn start(folder: &Path, plan: &Plan, record: &Record) -> Result<Host, String> {
         let addresses = free_addresses().ok_or("no free ports")?;
-        let (settings, log) = (folder.join("settings.json"), folder.join("log.txt"));
-        fs::write(&settings, content(&addresses, store)).map_err(|error| error.to_string())?;
+        let (settings, log) = (folder.join(format!("{}.json", plan.name)), folder.join(format!("{}.txt", plan.name)));
+        fs::write(&settings, content(&addresses, plan)).map_err(|error| error.to_string())?;
         let child = spawn(&settings, &log)?;
         let child = Arc::new(Process(Mutex::new(child)));
         let host = Host { addresses, settings, log, child, record: record.clone() };
-        host.record.line(format!("platform: host started, callers {}", addresses.callers));
+        host.record.line(format!("platform: host {} started, callers {}", plan.name, addresses.callers));
         host.wait_until_ready()?;
         Ok(host)
     }
@@ -182,13 +200,15 @@
 }
 
 /// Returns the settings, as the template in `deploy/` has them.
-fn content(addresses: &Addresses, store: SocketAddr) -> String {
+fn content(addresses: &Addresses, plan: &Plan) -> String {
     let Addresses { callers, readiness, directory, peers, metrics } = addresses;
+    let Plan { name, place: Place { zone, region }, first_start, store, .. } = plan;
+    let seed = plan.seed.unwrap_or(*peers);
     format!(
         r#"{{
-  "name": "front-bern-a-1",
-  "data_centre": "bern-a",
-  "regions": {{"bern-a":"mittelland"}},
+  "name": "{name}",
+  "data_centre": "{zone}",
+  "regions": {{"{zone}":"{region}"}},
   "listen": {{
     "callers": "{callers}",
     "readiness": "{readiness}",
@@ -196,8 +216,8 @@
     "peers": "{peers}",
     "metrics": "{metrics}"
   }},
-  "seeds": ["{peers}"],
-  "first_start": true,
+  "seeds": ["{seed}"],
+  "first_start": {first_start},
   "store": "{store}",
   "machine": {{"processor_share": 0.2, "link_mbps": 1000.0}},
   "bounds": {{
--- a/review/standin-2/instance.rs
+++ b/review/standin-2/instance.rs
@@ -8,7 +8,7 @@
         atomic::{AtomicUsize, Ordering},
     },
     thread,
-    time::{Duration, SystemTime},
+    time::{Duration, Instant, SystemTime},
 };
 
 use crate::{
@@ -61,12 +61,13 @@
     pub born: u128,
     service: &'static str,
     slots: usize,
+    zone: &'static str,
     manner: Arc<Mutex<Manner>>,
     running: Arc<AtomicUsize>,
     /// Requests that it began to run.
     pub begun: Arc<Mutex<Vec<String>>>,
-    /// Requests that it answered in full.
-    pub ended: Arc<Mutex<Vec<String>>>,
+    /// Requests that it began to run, with the times.
+    pub times: Arc<Mutex<Vec<(String, Instant)>>>,
     record: Record,
 }
 
@@ -76,6 +77,7 @@
         id: &'static str,
         service: &'static str,
         slots: usize,
+        zone: &'static str,
         manner: Manner,
         store: &Store,
         record: &Record,
@@ -89,10 +91,11 @@
             born,
             service,
             slots,
+            zone,
             manner: Arc::new(Mutex::new(manner)),
             running: Arc::default(),
             begun: Arc::default(),
-            ended: Arc::default(),
+            times: Arc::default(),
             record: record.clone(),
         };
         let served = instance.clone();
@@ -116,10 +119,10 @@
 
     /// Writes the entry now and at each heartbeat.
     fn register(&self, store: Store) {
-        let Instance { id, address, born, service, slots, .. } = self.clone();
+        let Instance { id, address, born, service, slots, zone, .. } = self.clone();
         let entry = move |sequence: u64| {
             format!(
-                r#"{{"address":"{address}","info":{{"service":"{service}","version":"v1","zone":"bern-a","slots":{slots}}},"status":{{"state":"ready","seq":{sequence},"coldLeftS":0}},"born":{born}}}"#
+                r#"{{"address":"{address}","info":{{"service":"{service}","version":"v1","zone":"{zone}","slots":{slots}}},"status":{{"state":"ready","seq":{sequence},"coldLeftS":0}},"born":{born}}}"#
             )
         };
         store.put("servers", id, &entry(1));
@@ -182,6 +185,9 @@
         self.record.line(format!("instance {id}: begins {request} ({first} of {length} bytes)"));
         let mut begun = self.begun.lock().expect("no holder of the lock panics");
         begun.push(request.to_owned());
+        let mut times = self.times.lock().expect("no holder of the lock panics");
+        times.push((request.to_owned(), Instant::now()));
+        drop(times);
         let is_spoilt = begun.len() % manner.surplus_each == 0;
         drop(begun);
         if is_spoilt {
@@ -203,7 +209,6 @@
         match &sent {
             Ok(()) => {
                 self.record.line(format!("instance {id}: answered {request} with 200"));
-                self.ended.lock().expect("no holder of the lock panics").push(request.to_owned());
             }
             Err(error) => {
                 self.record.line(format!("instance {id}: answer to {request} not sent: {error}"));
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -20,7 +20,7 @@
     time::Duration,
 };
 
-use crate::{cases::Stage, record::Record};
+use crate::{cases::Stage, host::Place, record::Record};
 
 /// Longest time for a case; the limit of a script is 120 s.
 const TIME_MAX: Duration = Duration::from_secs(100);
@@ -40,7 +40,11 @@
         record.line(format!("could not run: {error}"));
         return ExitCode::from(2);
     }
-    let outcome = Stage::start(&files, &record).and_then(|stage| {
+    let place = match case.as_str() {
+        "quota" => Place { zone: "stgo-a", region: "santiago" },
+        _ => Place { zone: "bern-a", region: "mittelland" },
+    };
+    let outcome = Stage::start(&files, place, &record).and_then(|stage| {
         let (host, late) = (stage.host.clone(), record.clone());
         thread::spawn(move || {
             thread::sleep(TIME_MAX);
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -5,7 +5,10 @@
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -37,7 +40,7 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let store = served.clone();
-                thread::spawn(move || store.connection(stream));
+                thread::spawn(move || store.connection(stream, &AtomicBool::new(false)));
             }
         });
         store
@@ -62,7 +65,21 @@
         changed.notify_all();
     }
 
-    fn connection(&self, stream: TcpStream) {
+    /// Listens at a further address, for machines that the store turns away with 503 while it is told to.
+    pub fn serve_some(&self, is_refused: &Arc<AtomicBool>) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (store, is_refused) = (self.clone(), is_refused.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (store, is_refused) = (store.clone(), is_refused.clone());
+                thread::spawn(move || store.connection(stream, &is_refused));
+            }
+        });
+        address
+    }
+
+    fn connection(&self, stream: TcpStream, is_refused: &AtomicBool) {
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = Reader::new(stream);
         while let Ok(Some(call)) = reader.message() {
@@ -73,6 +90,12 @@
                 let mut found = pairs.filter(|(key, _)| *key == name).map(|(_, value)| value);
                 found.next().unwrap_or_default().to_owned()
             };
+            if is_refused.load(Ordering::SeqCst) {
+                if http::answer(&mut writer, "503 Service Unavailable", "", b"{}").is_err() {
+                    return;
+                }
+                continue;
+            }
             let table = parameter("table");
             let body = match path {
                 "/rows-get" => self.page(&table, &parameter("part")),
