--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     sync::{
-        Arc, Mutex,
+        Arc,
         atomic::{AtomicBool, Ordering},
     },
     thread::{self, JoinHandle},
@@ -13,7 +13,7 @@
 
 use crate::{
     client::{Client, KEYS},
-    host::{Host, MEMORY, Place, Plan},
+    host::{Host, Place, Plan},
     instance::{Instance, Manner},
     record::Record,
     store::Store,
@@ -24,8 +24,6 @@
 
 /// Requests that the instance runs at the same time.
 const SLOTS: usize = 16;
-/// Time after which clients send again when they were refused.
-const RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// A small deployment: a store, a host and an instance.
 pub struct Stage {
@@ -69,7 +67,7 @@
     /// Sends a request on a new connection; returns the status of its answer.
     fn exchange(&self, id: &str) -> Option<u16> {
         let mut client = Client::connect(self.host.addresses.callers).ok()?;
-        client.send("GET", id, DEADLINE, 0, None).ok()?;
+        client.send("GET", id, DEADLINE, 0).ok()?;
         Some(client.answer(&|| {}).ok()?.status())
     }
 
@@ -105,14 +103,12 @@
 /// Plays a case.
 pub fn play(case: &str, stage: &Stage, has_trouble: bool) -> Outcome {
     match case {
-        "memory" => memory(stage, has_trouble),
         "upload" => upload(stage, has_trouble),
         "pipeline" => pipeline(stage, has_trouble),
         "keepalive" => keepalive(stage, has_trouble),
         "part" => part(stage, has_trouble),
         "quota" => quota(stage, has_trouble),
         "tenant" => new_tenant(stage, has_trouble),
-        "surplus" => surplus(stage, has_trouble),
         _ => Err(format!("no case {case}")),
     }
 }
@@ -152,109 +148,6 @@
     )
 }
 
-/// Uploads within `maxBodyBytes` arrive together: three as usual, five in the burst. Other clients send
-/// small requests on kept connections meanwhile.
-fn memory(stage: &Stage, has_trouble: bool) -> Outcome {
-    const UPLOAD_BYTES: usize = 60 * 1024 * 1024;
-    const UPLOAD_BYTES_PER_S: usize = 20 * 1024 * 1024;
-    const SMALL_CLIENTS: usize = 8;
-    let uploads = if has_trouble { 5 } else { 3 };
-    stage.manner(|manner| manner.work = Duration::from_millis(400));
-    let is_over = Arc::new(AtomicBool::new(false));
-    let (peak, kills) = (Arc::new(Mutex::new(0)), Arc::new(Mutex::new(0)));
-    let platform = {
-        let (host, record) = (stage.host.clone(), stage.record.clone());
-        let (is_over, peak, kills) = (is_over.clone(), peak.clone(), kills.clone());
-        thread::spawn(move || {
-            while !is_over.load(Ordering::SeqCst) {
-                let memory = host.memory();
-                let mut peak = peak.lock().expect("no holder of the lock panics");
-                *peak = memory.max(*peak);
-                drop(peak);
-                if memory > MEMORY {
-                    record.line(format!("platform: {memory} bytes in use, killed"));
-                    host.kill();
-                    *kills.lock().expect("no holder of the lock panics") += 1;
-                    thread::sleep(Duration::from_millis(500));
-                    let _ = host.restart();
-                }
-                thread::sleep(Duration::from_millis(10));
-            }
-        })
-    };
-    let small: Vec<JoinHandle<Vec<String>>> =
-        (0..SMALL_CLIENTS).map(|number| kept_client(stage, number, &is_over)).collect();
-    thread::sleep(Duration::from_secs(2));
-    let senders: Vec<JoinHandle<()>> = (0..uploads)
-        .map(|number| {
-            let (address, record) = (stage.host.addresses.callers, stage.record.clone());
-            thread::spawn(move || {
-                let id = format!("upload{number}");
-                let outcome = Client::connect(address).and_then(|mut client| {
-                    client.send("POST", &id, DEADLINE, UPLOAD_BYTES, Some(UPLOAD_BYTES_PER_S))?;
-                    client.answer(&|| {})
-                });
-                let seen = outcome.map_or_else(|e| e.to_string(), |m| m.status().to_string());
-                record.line(format!("client: {id} of {UPLOAD_BYTES} bytes: {seen}"));
-            })
-        })
-        .collect();
-    for sender in senders {
-        let _ = sender.join();
-    }
-    thread::sleep(Duration::from_secs(2));
-    is_over.store(true, Ordering::SeqCst);
-    let _ = platform.join();
-    let lost: Vec<String> = small.into_iter().flat_map(|s| s.join().unwrap_or_default()).collect();
-    let lost: Vec<String> = lost.into_iter().filter(|id| stage.has_begun(id)).collect();
-    let peak = *peak.lock().expect("no holder of the lock panics");
-    let kills = *kills.lock().expect("no holder of the lock panics");
-    stage.record.line(format!("peak {peak} bytes, limit {MEMORY}, killed {kills} times"));
-    let is_broken = lost.len() > 3;
-    Ok(is_broken.then(|| {
-        format!("LOST: {} requests passed on from kept connections got no answer: {lost:?}", lost.len())
-    }))
-}
-
-/// A client that sends small requests one after the other on a kept connection; returns those whose
-/// connection closed without an answer.
-fn kept_client(stage: &Stage, number: usize, is_over: &Arc<AtomicBool>) -> JoinHandle<Vec<String>> {
-    let (address, record) = (stage.host.addresses.callers, stage.record.clone());
-    let is_over = is_over.clone();
-    thread::spawn(move || {
-        let mut lost = Vec::new();
-        let mut client = None;
-        for count in 0.. {
-            if is_over.load(Ordering::SeqCst) {
-                break;
-            }
-            let is_kept = client.is_some();
-            let Ok(mut connected) = client.take().map_or_else(|| Client::connect(address), Ok) else {
-                thread::sleep(Duration::from_millis(100));
-                continue;
-            };
-            let id = format!("small{number}-{count}");
-            let sent = connected.send("POST", &id, DEADLINE, 300, None);
-            match sent.and_then(|()| connected.answer(&|| {})) {
-                Ok(answer) => {
-                    record.line(format!("client: {id}: {}", answer.status()));
-                    if answer.status() != 200 {
-                        thread::sleep(RETRY_AFTER);
-                    }
-                    client = Some(connected);
-                }
-                Err(error) => {
-                    record.line(format!("client: {id}: no answer: {error}"));
-                    if is_kept {
-                        lost.push(id);
-                    }
-                }
-            }
-        }
-        lost
-    })
-}
-
 /// A machine is stopped while it answers uploads. The instance reads on later: it has begun to work, and
 /// reads the rest of the body after a part of it.
 fn upload(stage: &Stage, has_trouble: bool) -> Outcome {
@@ -269,7 +162,7 @@
                 let id = format!("upload{number}");
                 let begun = Instant::now();
                 let outcome = Client::connect(address).and_then(|mut client| {
-                    client.send("POST", &id, DEADLINE, UPLOAD_BYTES, None)?;
+                    client.send("POST", &id, DEADLINE, UPLOAD_BYTES)?;
                     client.answer(&|| {})
                 });
                 let is_answered = outcome.as_ref().is_ok_and(|m| m.header("x-server-seal").is_some());
@@ -304,7 +197,7 @@
     let mut client = stage.connect()?;
     let send = |client: &mut Client, id: &str| {
         stage.record.line(format!("client: sends {id}"));
-        client.send("GET", id, DEADLINE, 0, None).map_err(|error| error.to_string())
+        client.send("GET", id, DEADLINE, 0).map_err(|error| error.to_string())
     };
     send(&mut client, "kept0")?;
     let first = client.answer(&|| {}).map_err(|error| error.to_string())?;
@@ -333,7 +226,7 @@
 fn keepalive(stage: &Stage, has_trouble: bool) -> Outcome {
     let mut client = stage.connect()?;
     let mut exchange = |id: &str| {
-        let sent = client.send("POST", id, DEADLINE, 300, None);
+        let sent = client.send("POST", id, DEADLINE, 300);
         let outcome = sent.and_then(|()| client.answer(&|| {}));
         let is_answered = outcome.is_ok();
         let seen = outcome.map_or_else(|e| e.to_string(), |m| m.status().to_string());
@@ -360,48 +253,6 @@
     }))
 }
 
-/// One of two instances sends surplus bytes late that look like an answer, without an identifier and without
-/// a seal. They come after one in 34 of its answers.
-fn surplus(stage: &Stage, has_trouble: bool) -> Outcome {
-    const REQUESTS: usize = 400;
-    const SURPLUS_EACH: usize = 34;
-    const SURPLUS: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-    const WORK: Duration = Duration::from_millis(20);
-    let sound = Manner { work: WORK, ..Manner::default() };
-    let _other =
-        stage.other_instance("wuno96b", sound);
-    stage.manner(|manner| {
-        *manner = sound;
-        if has_trouble {
-            (manner.surplus, manner.surplus_each) = (SURPLUS, SURPLUS_EACH);
-        }
-    });
-    thread::sleep(Duration::from_secs(1));
-    let mut client = stage.connect()?;
-    let mut foreign = Vec::new();
-    for number in 1..=REQUESTS {
-        let id = format!("order{number}");
-        let sent = client.send("POST", &id, DEADLINE, 300, None);
-        let outcome = sent.and_then(|()| client.answer(&|| {}));
-        let (seen, is_foreign) = match &outcome {
-            Ok(answer) => {
-                let seal = answer.header("x-server-seal").unwrap_or("no seal");
-                let is_foreign = answer.status() == 200 && !seal.ends_with(&format!(".{id}"));
-                (format!("{}, {seal}, {} bytes", answer.status(), answer.body.len()), is_foreign)
-            }
-            Err(error) => (error.to_string(), false),
-        };
-        stage.record.line(format!("client: {id}: {seen}"));
-        if is_foreign {
-            foreign.push(format!("{id}: {seen}"));
-        }
-        if outcome.is_err() {
-            client = stage.connect()?;
-        }
-    }
-    Ok((!foreign.is_empty()).then(|| format!("MIXED: successes without the instance's seal: {foreign:?}")))
-}
-
 /// Another writer keeps a row of its own in the table of the instances, in a part of its own. Its key is that
 /// of an instance of another service.
 fn part(stage: &Stage, has_trouble: bool) -> Outcome {
@@ -421,7 +272,7 @@
             stage.store.put_in("servers", "lab", "i-02d9e6b4", &row);
         }
         let id = format!("order{number}");
-        let sent = client.send("POST", &id, DEADLINE, 300, None);
+        let sent = client.send("POST", &id, DEADLINE, 300);
         let outcome = sent.and_then(|()| client.answer(&|| {}));
         let seen = outcome.as_ref().map_or_else(|e| e.to_string(), |answer| {
             let seal = answer.header("x-server-seal").unwrap_or("no seal");
@@ -463,7 +314,7 @@
         for number in 0..10 {
             for (client, allowed) in clients.iter_mut().zip(allowed) {
                 let id = format!("v{version}-{number}-{}", client.key);
-                client.send("POST", &id, DEADLINE, 300, None).map_err(|error| error.to_string())?;
+                client.send("POST", &id, DEADLINE, 300).map_err(|error| error.to_string())?;
                 let answer = client.answer(&|| {}).map_err(|error| error.to_string())?;
                 stage.record.line(format!("client: {id}: {}", answer.status()));
                 let expected = if allowed { 200 } else { 401 };
@@ -517,7 +368,7 @@
                         break;
                     }
                     let id = format!("{TENANT}-{}-{number}-{count}", address.port());
-                    let sent = client.send("GET", &id, DEADLINE, 0, None);
+                    let sent = client.send("GET", &id, DEADLINE, 0);
                     let Ok(answer) = sent.and_then(|()| client.answer(&|| {})) else { break };
                     seen[usize::from(answer.status() != 200)] += 1;
                     thread::sleep(PAUSE);
--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -30,14 +30,13 @@
         Ok(Client { key: KEYS[0], stream, reader })
     }
 
-    /// Sends a request, its body at `bytes_per_s` or at once.
+    /// Sends a request with a body of `length` bytes.
     pub fn send(
         &mut self,
         method: &str,
         id: &str,
         deadline: Duration,
         length: usize,
-        bytes_per_s: Option<usize>,
     ) -> io::Result<()> {
         let prefix = if method == "GET" { "leny950" } else { "puka111" };
         let mut head = format!(
@@ -50,17 +49,7 @@
         }
         head.push_str("\r\n");
         self.stream.write_all(head.as_bytes())?;
-        let piece = vec![b'y'; 256 * 1024];
-        let mut left = length;
-        while left > 0 {
-            let count = left.min(piece.len());
-            self.stream.write_all(&piece[..count])?;
-            left -= count;
-            if let Some(rate) = bytes_per_s {
-                std::thread::sleep(Duration::from_secs_f64(count as f64 / rate as f64));
-            }
-        }
-        Ok(())
+        self.stream.write_all(&vec![b'y'; length])
     }
 
     /// Reads an answer, with a pause after each piece of its body.
--- a/review/standin-2/host.rs
+++ b/review/standin-2/host.rs
@@ -13,8 +13,6 @@
 use crate::{http::Reader, record::Record};
 use std::io::Write;
 
-/// Memory that the platform gives the process (`limits.memoryMb`), in bytes.
-pub const MEMORY: u64 = 260 * 1024 * 1024;
 /// Time from SIGTERM until the platform kills the process (`graceS`).
 pub const GRACE: Duration = Duration::from_secs(6);
 
@@ -50,7 +48,6 @@
 #[derive(Clone)]
 pub struct Host {
     pub addresses: Addresses,
-    settings: PathBuf,
     log: PathBuf,
     child: Arc<Process>,
     record: Record,
@@ -64,7 +61,7 @@
         fs::write(&settings, content(&addresses, plan)).map_err(|error| error.to_string())?;
         let child = spawn(&settings, &log)?;
         let child = Arc::new(Process(Mutex::new(child)));
-        let host = Host { addresses, settings, log, child, record: record.clone() };
+        let host = Host { addresses, log, child, record: record.clone() };
         host.record.line(format!("platform: host {} started, callers {}", plan.name, addresses.callers));
         host.wait_until_ready()?;
         Ok(host)
@@ -136,22 +133,6 @@
         let _ = child.kill();
         let _ = child.wait();
     }
-
-    /// Starts the process again.
-    pub fn restart(&self) -> Result<(), String> {
-        let child = spawn(&self.settings, &self.log)?;
-        *self.child.0.lock().expect("no holder of the lock panics") = child;
-        self.record.line("platform: host started again");
-        Ok(())
-    }
-
-    /// Returns the memory that the process uses, in bytes, without what the kernel holds for it.
-    pub fn memory(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let number = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
-        number.unwrap_or(0) * 1024
-    }
 }
 
 /// A process, which is killed when it is dropped.
--- a/review/standin-2/instance.rs
+++ b/review/standin-2/instance.rs
@@ -1,7 +1,7 @@
 //! A stand-in for an instance of a service.
 
 use std::{
-    io::{self, Write},
+    io,
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
@@ -32,10 +32,6 @@
     pub first_bytes: Option<usize>,
     /// Value of `Keep-Alive` in its answers.
     pub keep_alive: &'static str,
-    /// Bytes that it sends late after a complete answer, when the next request is in.
-    pub surplus: &'static str,
-    /// Number of answers for each of which it does so.
-    pub surplus_each: usize,
 }
 
 impl Default for Manner {
@@ -46,8 +42,6 @@
             answer_bytes: 400,
             first_bytes: None,
             keep_alive: "timeout=10",
-            surplus: "",
-            surplus_each: usize::MAX,
         }
     }
 }
@@ -188,12 +182,7 @@
         let mut times = self.times.lock().expect("no holder of the lock panics");
         times.push((request.to_owned(), Instant::now()));
         drop(times);
-        let is_spoilt = begun.len() % manner.surplus_each == 0;
         drop(begun);
-        if is_spoilt {
-            self.record.line(format!("instance {id}: sends surplus bytes before it runs {request}"));
-            writer.write_all(manner.surplus.as_bytes())?;
-        }
         thread::sleep(manner.work);
         if let Err(error) = reader.piece(length - first, &|| {}) {
             self.record.line(format!("instance {id}: rest of {request} did not come: {error}"));
