review: write the row of case 7 between two renewals of the entry

On a faster or slower machine the row could have come just before a renewal, with hardly a request until then.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -264,7 +264,8 @@
         r#"{{"address":"{address}","info":{{"service":"wuno96b","version":"lab","zone":"bern-a","slots":16}},"status":{{"state":"ready","seq":1,"coldLeftS":0}},"born":{}}}"#,
         other.born
     );
-    thread::sleep(Duration::from_secs(2));
+    // The row is written about half way between two renewals of the entry.
+    thread::sleep(Duration::from_millis(2_600));
     let mut client = stage.connect()?;
     for number in 0..200 {
         if number == 50 && has_trouble {
