--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -82,11 +82,18 @@
         Instance::start("i-02d9e6b4", service, SLOTS, zone, manner, store, &self.record)
     }
 
-    /// Starts a further host, which knows the first one.
-    fn other_host(&self, number: u32, first_start: bool, store: SocketAddr) -> Result<Host, String> {
-        let name = format!("front-{}-{number}", self.place.zone);
+    /// Starts a further host in a zone, which knows the first one.
+    fn other_host(
+        &self,
+        zone: &'static str,
+        number: u32,
+        first_start: bool,
+        store: SocketAddr,
+    ) -> Result<Host, String> {
+        let name = format!("front-{zone}-{number}");
         let seed = Some(self.host.addresses.peers);
-        let plan = Plan { name, place: self.place, first_start, seed, store };
+        let place = Place { zone, ..self.place };
+        let plan = Plan { name, place, first_start, seed, store };
         Host::start(&self.folder, &plan, &self.record)
     }
 
@@ -330,13 +337,13 @@
     }))
 }
 
-/// A third machine is added to a zone, and the store turns it away for a while. One tenant sends more than its
-/// quota to all of them.
+/// Machines are added in three of six zones, and the store turns them away for a while. One tenant sends more
+/// than its quota to all machines.
 fn quota(stage: &Stage, has_trouble: bool) -> Outcome {
-    const TENANT: &str = "bemo114";
-    const KEY: &str = "key-of-bemo114-3w9x";
-    const RATE: u32 = 60;
-    const BURST: u32 = 60;
+    const TENANT: &str = "dile407";
+    const KEY: &str = "key-of-dile407-3w9x";
+    const RATE: u32 = 147;
+    const BURST: u32 = 147;
     /// `quotaWindowS`, `quotaOvershoot` and `quotaSlack`.
     const WINDOW: Duration = Duration::from_secs(5);
     const OVERSHOOT: f64 = 0.1;
@@ -344,19 +351,29 @@
     /// Clients of the tenant at each machine, and the pause of each after an answer.
     const CLIENTS: usize = 4;
     const PAUSE: Duration = Duration::from_millis(50);
-    const LOAD: Duration = Duration::from_millis(6_400);
-    let second = stage.other_host(2, true, stage.store.address)?;
+    const LOAD: Duration = Duration::from_millis(6_000);
+    const ADDED: [&str; 3] = ["valpo-b", "conce-a", "conce-b"];
+    const INSTANCES: [&str; 5] = ["i-00000001", "i-00000002", "i-00000003", "i-00000004", "i-00000005"];
+    let quick = Manner { work: Duration::from_millis(2), ..Manner::default() };
+    stage.manner(|manner| *manner = quick);
+    let (mut hosts, mut instances) = (vec![stage.host.clone()], vec![stage.instance.clone()]);
+    for ((zone, _), id) in stage.place.regions[1..].iter().zip(INSTANCES) {
+        let (store, record) = (&stage.store, &stage.record);
+        instances.push(Instance::start(id, "wuno96b", SLOTS, zone, quick, store, record));
+        hosts.push(stage.other_host(zone, 1, true, store.address)?);
+    }
     let tenants = [limited_tenant(TENANT, &[KEY], RATE, BURST)];
     stage.store.put("op", "config", &configuration(8, &tenants));
-    stage.manner(|manner| manner.work = Duration::from_millis(2));
     thread::sleep(Duration::from_secs(4));
     let is_refused = Arc::new(AtomicBool::new(has_trouble));
     let refused_since = Instant::now();
-    let added = stage.other_host(3, false, stage.store.serve_some(&is_refused))?;
-    thread::sleep(Duration::from_secs(1));
+    let store = stage.store.serve_some(&is_refused);
+    for zone in ADDED {
+        hosts.push(stage.other_host(zone, 2, false, store)?);
+    }
     let is_over = Arc::new(AtomicBool::new(false));
     let mut clients = Vec::new();
-    for host in [&stage.host, &second, &added] {
+    for host in &hosts {
         let address = host.addresses.callers;
         for number in 0..CLIENTS {
             let is_over = is_over.clone();
@@ -386,11 +403,13 @@
     let [answered, others] = [0, 1].map(|kind| seen.iter().map(|seen| seen[kind]).sum::<u32>());
     stage.record.line(format!("clients: {answered} answers with 200, {others} others"));
     if has_trouble {
-        stage.record.line(format!("store: turned the added machine away for {refused_s:.1} s"));
+        stage.record.line(format!("store: turned the added machines away for {refused_s:.1} s"));
+    }
+    let mut begun: Vec<Instant> = Vec::new();
+    for instance in &instances {
+        let times = instance.times.lock().expect("no holder of the lock panics");
+        begun.extend(times.iter().filter(|(id, _)| id.starts_with(TENANT)).map(|(_, at)| *at));
     }
-    let times = stage.instance.times.lock().expect("no holder of the lock panics").clone();
-    let begun: Vec<Instant> =
-        times.iter().filter(|(id, _)| id.starts_with(TENANT)).map(|(_, at)| *at).collect();
     let in_window = |from: &Instant| {
         begun.iter().filter(|at| **at >= *from && **at < *from + WINDOW).count()
     };
--- a/review/standin-2/host.rs
+++ b/review/standin-2/host.rs
@@ -26,11 +26,12 @@
     metrics: SocketAddr,
 }
 
-/// A zone and its region.
+/// A zone of a site.
 #[derive(Clone, Copy)]
 pub struct Place {
     pub zone: &'static str,
-    pub region: &'static str,
+    /// Zones of the site with their regions.
+    pub regions: &'static [(&'static str, &'static str)],
 }
 
 /// What the settings of a host say beside its addresses.
@@ -183,13 +184,16 @@
 /// Returns the settings, as the template in `deploy/` has them.
 fn content(addresses: &Addresses, plan: &Plan) -> String {
     let Addresses { callers, readiness, directory, peers, metrics } = addresses;
-    let Plan { name, place: Place { zone, region }, first_start, store, .. } = plan;
+    let Plan { name, place: Place { zone, regions }, first_start, store, .. } = plan;
+    let regions: Vec<String> =
+        regions.iter().map(|(zone, region)| format!(r#""{zone}":"{region}""#)).collect();
+    let regions = regions.join(",");
     let seed = plan.seed.unwrap_or(*peers);
     format!(
         r#"{{
   "name": "{name}",
   "data_centre": "{zone}",
-  "regions": {{"{zone}":"{region}"}},
+  "regions": {{{regions}}},
   "listen": {{
     "callers": "{callers}",
     "readiness": "{readiness}",
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -25,6 +25,16 @@
 /// Longest time for a case; the limit of a script is 120 s.
 const TIME_MAX: Duration = Duration::from_secs(100);
 
+/// Zones of cordillera-hoist with their regions.
+const CORDILLERA: [(&str, &str); 6] = [
+    ("stgo-a", "santiago"),
+    ("stgo-b", "santiago"),
+    ("valpo-a", "valpo"),
+    ("valpo-b", "valpo"),
+    ("conce-a", "concepcion"),
+    ("conce-b", "concepcion"),
+];
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = env::args().skip(1).collect();
     let [case, folder] = &arguments[..] else {
@@ -41,8 +51,8 @@
         return ExitCode::from(2);
     }
     let place = match case.as_str() {
-        "quota" => Place { zone: "stgo-a", region: "santiago" },
-        _ => Place { zone: "bern-a", region: "mittelland" },
+        "quota" => Place { zone: "stgo-a", regions: &CORDILLERA },
+        _ => Place { zone: "bern-a", regions: &[("bern-a", "mittelland")] },
     };
     let outcome = Stage::start(&files, place, &record).and_then(|stage| {
         let (host, late) = (stage.host.clone(), record.clone());
