--- /dev/null
+++ b/review/standin-2/cases.rs
@@ -0,0 +1,360 @@
+//! The cases.
+
+use std::{
+    path::Path,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use crate::{
+    client::{Client, KEY},
+    host::{Host, MEMORY},
+    instance::{Instance, Manner},
+    record::Record,
+    store::Store,
+};
+
+/// Deadline of requests, as that of `calib-submit`.
+const DEADLINE: Duration = Duration::from_secs(6);
+
+/// Requests that the instance runs at the same time.
+const SLOTS: usize = 16;
+/// Time after which clients send again when they were refused.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// A small deployment: a store, a host and an instance.
+pub struct Stage {
+    pub host: Host,
+    instance: Instance,
+    store: Store,
+    record: Record,
+}
+
+/// Result of a case: what broke the rule, if anything did.
+type Outcome = Result<Option<String>, String>;
+
+impl Stage {
+    /// Starts the deployment, and waits until a request is answered.
+    pub fn start(folder: &Path, record: &Record) -> Result<Stage, String> {
+        let store = Store::serve();
+        store.put("op", "config", Some(&configuration()));
+        let manner = Manner::default();
+        let instance = Instance::start("i-7f3a91c2", "wuno96b", SLOTS, manner, &store, record);
+        let host = Host::start(folder, store.address, record)?;
+        let stage = Stage { host, instance, store, record: record.clone() };
+        stage.wait_until_served()?;
+        Ok(stage)
+    }
+
+    fn wait_until_served(&self) -> Result<(), String> {
+        for number in 0..100 {
+            if self.exchange(&format!("warm{number}")) == Some(200) {
+                return Ok(());
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        Err("no request was answered with 200".into())
+    }
+
+    /// Sends a request on a new connection; returns the status of its answer.
+    fn exchange(&self, id: &str) -> Option<u16> {
+        let mut client = Client::connect(self.host.addresses.callers).ok()?;
+        client.send("GET", id, DEADLINE, 0, None).ok()?;
+        Some(client.answer(&|| {}).ok()?.status())
+    }
+
+    fn manner(&self, change: impl Fn(&mut Manner)) {
+        let mut manner = Manner::default();
+        change(&mut manner);
+        self.instance.set_manner(manner);
+    }
+
+    fn has_begun(&self, request: &str) -> bool {
+        let begun = self.instance.begun.lock().expect("no holder of the lock panics");
+        begun.iter().any(|known| known == request)
+    }
+
+    fn connect(&self) -> Result<Client, String> {
+        Client::connect(self.host.addresses.callers).map_err(|error| error.to_string())
+    }
+}
+
+/// Plays a case.
+pub fn play(case: &str, stage: &Stage, has_trouble: bool) -> Outcome {
+    match case {
+        "memory" => memory(stage, has_trouble),
+        "upload" => upload(stage, has_trouble),
+        "pipeline" => pipeline(stage, has_trouble),
+        "keepalive" => keepalive(stage, has_trouble),
+        "surplus" => surplus(stage, has_trouble),
+        _ => Err(format!("no case {case}")),
+    }
+}
+
+/// A configuration with a safe and an unsafe route, and the limits that `fleetbench wire` shows.
+fn configuration() -> String {
+    let route = |prefix: &str, kind: &str| {
+        format!(
+            r#"{{"name":"r-{prefix}","prefix":"/{prefix}/","kind":"{kind}","timeoutS":6,"targetLatencyS":4,"priority":1,"service":"wuno96b","maxAttempts":2,"anonymous":false,"sessionAffinity":false,"homeRegions":[]}}"#
+        )
+    };
+    format!(
+        r#"{{"version":"00000007","services":[{{"name":"wuno96b","healthPath":"/health","maxConns":330,"protocol":"h1","tls":false,"coldS":3.0,"coldPerS":8.9}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15}},"tenants":[{{"name":"cuka620","apiKeys":["{KEY}"],"priority":1,"ratePerS":0,"burst":0,"homeRegions":[]}}],"hosts":[{{"host":"jepu9.example","paths":[{},{}]}}]}}"#,
+        route("leny950", "safe"),
+        route("puka111", "unsafe")
+    )
+}
+
+/// Uploads within `maxBodyBytes` arrive together: three as usual, five in the burst. Other clients send
+/// small requests on kept connections meanwhile.
+fn memory(stage: &Stage, has_trouble: bool) -> Outcome {
+    const UPLOAD_BYTES: usize = 60 * 1024 * 1024;
+    const UPLOAD_BYTES_PER_S: usize = 20 * 1024 * 1024;
+    const SMALL_CLIENTS: usize = 8;
+    let uploads = if has_trouble { 5 } else { 3 };
+    stage.manner(|manner| manner.work = Duration::from_millis(400));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let (peak, kills) = (Arc::new(Mutex::new(0)), Arc::new(Mutex::new(0)));
+    let platform = {
+        let (host, record) = (stage.host.clone(), stage.record.clone());
+        let (is_over, peak, kills) = (is_over.clone(), peak.clone(), kills.clone());
+        thread::spawn(move || {
+            while !is_over.load(Ordering::SeqCst) {
+                let memory = host.memory();
+                let mut peak = peak.lock().expect("no holder of the lock panics");
+                *peak = memory.max(*peak);
+                drop(peak);
+                if memory > MEMORY {
+                    record.line(format!("platform: {memory} bytes in use, killed"));
+                    host.kill();
+                    *kills.lock().expect("no holder of the lock panics") += 1;
+                    thread::sleep(Duration::from_millis(500));
+                    let _ = host.restart();
+                }
+                thread::sleep(Duration::from_millis(10));
+            }
+        })
+    };
+    let small: Vec<JoinHandle<Vec<String>>> =
+        (0..SMALL_CLIENTS).map(|number| kept_client(stage, number, &is_over)).collect();
+    thread::sleep(Duration::from_secs(2));
+    let senders: Vec<JoinHandle<()>> = (0..uploads)
+        .map(|number| {
+            let (address, record) = (stage.host.addresses.callers, stage.record.clone());
+            thread::spawn(move || {
+                let id = format!("upload{number}");
+                let outcome = Client::connect(address).and_then(|mut client| {
+                    client.send("POST", &id, DEADLINE, UPLOAD_BYTES, Some(UPLOAD_BYTES_PER_S))?;
+                    client.answer(&|| {})
+                });
+                let seen = outcome.map_or_else(|e| e.to_string(), |m| m.status().to_string());
+                record.line(format!("client: {id} of {UPLOAD_BYTES} bytes: {seen}"));
+            })
+        })
+        .collect();
+    for sender in senders {
+        let _ = sender.join();
+    }
+    thread::sleep(Duration::from_secs(2));
+    is_over.store(true, Ordering::SeqCst);
+    let _ = platform.join();
+    let lost: Vec<String> = small.into_iter().flat_map(|s| s.join().unwrap_or_default()).collect();
+    let lost: Vec<String> = lost.into_iter().filter(|id| stage.has_begun(id)).collect();
+    let peak = *peak.lock().expect("no holder of the lock panics");
+    let kills = *kills.lock().expect("no holder of the lock panics");
+    stage.record.line(format!("peak {peak} bytes, limit {MEMORY}, killed {kills} times"));
+    let is_broken = lost.len() > 3;
+    Ok(is_broken.then(|| {
+        format!("LOST: {} requests passed on from kept connections got no answer: {lost:?}", lost.len())
+    }))
+}
+
+/// A client that sends small requests one after the other on a kept connection; returns those whose
+/// connection closed without an answer.
+fn kept_client(stage: &Stage, number: usize, is_over: &Arc<AtomicBool>) -> JoinHandle<Vec<String>> {
+    let (address, record) = (stage.host.addresses.callers, stage.record.clone());
+    let is_over = is_over.clone();
+    thread::spawn(move || {
+        let mut lost = Vec::new();
+        let mut client = None;
+        for count in 0.. {
+            if is_over.load(Ordering::SeqCst) {
+                break;
+            }
+            let is_kept = client.is_some();
+            let Ok(mut connected) = client.take().map_or_else(|| Client::connect(address), Ok) else {
+                thread::sleep(Duration::from_millis(100));
+                continue;
+            };
+            let id = format!("small{number}-{count}");
+            let sent = connected.send("POST", &id, DEADLINE, 300, None);
+            match sent.and_then(|()| connected.answer(&|| {})) {
+                Ok(answer) => {
+                    record.line(format!("client: {id}: {}", answer.status()));
+                    if answer.status() != 200 {
+                        thread::sleep(RETRY_AFTER);
+                    }
+                    client = Some(connected);
+                }
+                Err(error) => {
+                    record.line(format!("client: {id}: no answer: {error}"));
+                    if is_kept {
+                        lost.push(id);
+                    }
+                }
+            }
+        }
+        lost
+    })
+}
+
+/// A machine is stopped while it answers uploads. The instance reads on later: it has begun to work, and
+/// reads the rest of the body after a part of it.
+fn upload(stage: &Stage, has_trouble: bool) -> Outcome {
+    const UPLOAD_BYTES: usize = 16 * 1024 * 1024;
+    const WORK: Duration = Duration::from_millis(2_900);
+    let first_bytes = has_trouble.then_some(64 * 1024);
+    stage.manner(|manner| (manner.work, manner.first_bytes) = (WORK, first_bytes));
+    let clients: Vec<JoinHandle<(String, String, bool)>> = (0..4)
+        .map(|number| {
+            let (address, record) = (stage.host.addresses.callers, stage.record.clone());
+            thread::spawn(move || {
+                let id = format!("upload{number}");
+                let begun = Instant::now();
+                let outcome = Client::connect(address).and_then(|mut client| {
+                    client.send("POST", &id, DEADLINE, UPLOAD_BYTES, None)?;
+                    client.answer(&|| {})
+                });
+                let is_answered = outcome.as_ref().is_ok_and(|m| m.header("x-server-seal").is_some());
+                let seen = outcome.map_or_else(|e| e.to_string(), |m| m.status().to_string());
+                let took = begun.elapsed().as_secs_f64();
+                record.line(format!("client: {id} of {UPLOAD_BYTES} bytes: {seen} after {took:.3} s"));
+                (id, seen, is_answered)
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(600));
+    stage.host.terminate();
+    let seen: Vec<_> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
+    // The process is given its time to end.
+    thread::sleep(Duration::from_millis(500));
+    let broken: Vec<String> = seen
+        .into_iter()
+        .filter(|(id, _, is_answered)| !is_answered && stage.has_begun(id))
+        .map(|(id, seen, _)| format!("{id}: {seen}"))
+        .collect();
+    Ok((!broken.is_empty()).then(|| format!("LOST: broken off while at work: {broken:?}")))
+}
+
+/// A machine is stopped while it sends an answer to a client that has sent further requests behind it.
+fn pipeline(stage: &Stage, has_trouble: bool) -> Outcome {
+    const ANSWER_BYTES: usize = 3 * 1024 * 1024;
+    /// Pause after each piece that the client reads, which makes about 16 Mbit/s.
+    const PAUSE: Duration = Duration::from_millis(32);
+    stage.manner(|manner| {
+        (manner.work, manner.answer_bytes) = (Duration::from_millis(700), ANSWER_BYTES);
+    });
+    let mut client = stage.connect()?;
+    let send = |client: &mut Client, id: &str| {
+        stage.record.line(format!("client: sends {id}"));
+        client.send("GET", id, DEADLINE, 0, None).map_err(|error| error.to_string())
+    };
+    send(&mut client, "kept0")?;
+    let first = client.answer(&|| {}).map_err(|error| error.to_string())?;
+    stage.record.line(format!("client: kept0: {} with {} bytes", first.status(), first.body.len()));
+    if has_trouble {
+        stage.host.terminate();
+    }
+    thread::sleep(Duration::from_millis(100));
+    send(&mut client, "behind1")?;
+    for id in ["behind2", "behind3"] {
+        thread::sleep(Duration::from_millis(100));
+        send(&mut client, id)?;
+    }
+    let outcome = client.answer(&|| thread::sleep(PAUSE));
+    let seen = match &outcome {
+        Ok(answer) => format!("{} with {} bytes", answer.status(), answer.body.len()),
+        Err(error) => format!("not complete: {error}"),
+    };
+    stage.record.line(format!("client: behind1: {seen}"));
+    let is_whole = outcome.is_ok_and(|a| a.status() == 200 && a.body.len() == ANSWER_BYTES);
+    let is_passed_on = stage.has_begun("behind1");
+    Ok((!is_whole && is_passed_on).then(|| format!("LOST: the answer to behind1 is {seen}")))
+}
+
+/// The instance states a time-out of its idle connections that is longer than any clock runs.
+fn keepalive(stage: &Stage, has_trouble: bool) -> Outcome {
+    let mut client = stage.connect()?;
+    let mut exchange = |id: &str| {
+        let sent = client.send("POST", id, DEADLINE, 300, None);
+        let outcome = sent.and_then(|()| client.answer(&|| {}));
+        let is_answered = outcome.is_ok();
+        let seen = outcome.map_or_else(|e| e.to_string(), |m| m.status().to_string());
+        stage.record.line(format!("client: {id}: {seen}"));
+        if !is_answered {
+            client = stage.connect()?;
+        }
+        Ok::<_, String>(is_answered)
+    };
+    let mut lost = Vec::new();
+    for number in 0..8 {
+        stage.manner(|_| {});
+        exchange(&format!("kept{number}"))?;
+        if has_trouble {
+            stage.manner(|manner| manner.keep_alive = "timeout=18446744073709551615");
+        }
+        let id = format!("next{number}");
+        if !exchange(&id)? && stage.has_begun(&id) {
+            lost.push(id);
+        }
+    }
+    Ok((lost.len() > 3).then(|| {
+        format!("LOST: {} requests passed on from kept connections got no answer: {lost:?}", lost.len())
+    }))
+}
+
+/// One of two instances sends surplus bytes late that look like an answer, without an identifier and without
+/// a seal. They come after one in 34 of its answers.
+fn surplus(stage: &Stage, has_trouble: bool) -> Outcome {
+    const REQUESTS: usize = 400;
+    const SURPLUS_EACH: usize = 34;
+    const SURPLUS: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const WORK: Duration = Duration::from_millis(20);
+    let sound = Manner { work: WORK, ..Manner::default() };
+    let _other =
+        Instance::start("i-02d9e6b4", "wuno96b", SLOTS, sound, &stage.store, &stage.record);
+    stage.manner(|manner| {
+        *manner = sound;
+        if has_trouble {
+            (manner.surplus, manner.surplus_each) = (SURPLUS, SURPLUS_EACH);
+        }
+    });
+    thread::sleep(Duration::from_secs(1));
+    let mut client = stage.connect()?;
+    let mut foreign = Vec::new();
+    for number in 1..=REQUESTS {
+        let id = format!("order{number}");
+        let sent = client.send("POST", &id, DEADLINE, 300, None);
+        let outcome = sent.and_then(|()| client.answer(&|| {}));
+        let (seen, is_foreign) = match &outcome {
+            Ok(answer) => {
+                let seal = answer.header("x-server-seal").unwrap_or("no seal");
+                let is_foreign = answer.status() == 200 && !seal.ends_with(&format!(".{id}"));
+                (format!("{}, {seal}, {} bytes", answer.status(), answer.body.len()), is_foreign)
+            }
+            Err(error) => (error.to_string(), false),
+        };
+        stage.record.line(format!("client: {id}: {seen}"));
+        if is_foreign {
+            foreign.push(format!("{id}: {seen}"));
+        }
+        if outcome.is_err() {
+            client = stage.connect()?;
+        }
+    }
+    Ok((!foreign.is_empty()).then(|| format!("MIXED: successes without the instance's seal: {foreign:?}")))
+}
--- /dev/null
+++ b/review/standin-2/client.rs
@@ -0,0 +1,71 @@
+//! A client with one kept connection.
+
+use std::{
+    io::{self, Write},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
+
+use crate::http::{Message, Reader};
+
+/// Key of the only tenant.
+pub const KEY: &str = "s989anu6wsjnbanfqasn";
+/// Longest time for which a client waits for bytes.
+const READ_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A client.
+pub struct Client {
+    stream: TcpStream,
+    reader: Reader,
+}
+
+impl Client {
+    pub fn connect(address: SocketAddr) -> io::Result<Client> {
+        let stream = TcpStream::connect(address)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(READ_TIMEOUT))?;
+        let reader = Reader::new(stream.try_clone()?);
+        Ok(Client { stream, reader })
+    }
+
+    /// Sends a request, its body at `bytes_per_s` or at once.
+    pub fn send(
+        &mut self,
+        method: &str,
+        id: &str,
+        deadline: Duration,
+        length: usize,
+        bytes_per_s: Option<usize>,
+    ) -> io::Result<()> {
+        let prefix = if method == "GET" { "leny950" } else { "puka111" };
+        let mut head = format!(
+            "{method} /{prefix}/{id} HTTP/1.1\r\nHost: jepu9.example\r\nX-Request-Id: {id}\r\nX-Remaining-Ms: {}\r\nAuthorization: Bearer {KEY}\r\n",
+            deadline.as_millis()
+        );
+        if method != "GET" {
+            head.push_str(&format!("Content-Length: {length}\r\n"));
+        }
+        head.push_str("\r\n");
+        self.stream.write_all(head.as_bytes())?;
+        let piece = vec![b'y'; 256 * 1024];
+        let mut left = length;
+        while left > 0 {
+            let count = left.min(piece.len());
+            self.stream.write_all(&piece[..count])?;
+            left -= count;
+            if let Some(rate) = bytes_per_s {
+                std::thread::sleep(Duration::from_secs_f64(count as f64 / rate as f64));
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads an answer, with a pause after each piece of its body.
+    pub fn answer(&mut self, pause: &dyn Fn()) -> io::Result<Message> {
+        let head = self.reader.head()?;
+        let mut message =
+            head.ok_or_else(|| io::Error::new(io::ErrorKind::UnexpectedEof, "closed"))?;
+        self.reader.body(&mut message, pause)?;
+        Ok(message)
+    }
+}
