--- a/review/standin-2/instance.rs
+++ b/review/standin-2/instance.rs
@@ -57,6 +57,8 @@
 pub struct Instance {
     pub id: &'static str,
     pub address: SocketAddr,
+    /// Unix time of its start, in milliseconds.
+    pub born: u128,
     service: &'static str,
     slots: usize,
     manner: Arc<Mutex<Manner>>,
@@ -80,9 +82,11 @@
     ) -> Instance {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
+        let born = SystemTime::UNIX_EPOCH.elapsed().map_or(0, |since| since.as_millis());
         let instance = Instance {
             id,
             address,
+            born,
             service,
             slots,
             manner: Arc::new(Mutex::new(manner)),
@@ -112,18 +116,17 @@
 
     /// Writes the entry now and at each heartbeat.
     fn register(&self, store: Store) {
-        let Instance { id, address, service, slots, .. } = self.clone();
-        let born = SystemTime::UNIX_EPOCH.elapsed().map_or(0, |since| since.as_millis());
+        let Instance { id, address, born, service, slots, .. } = self.clone();
         let entry = move |sequence: u64| {
             format!(
                 r#"{{"address":"{address}","info":{{"service":"{service}","version":"v1","zone":"bern-a","slots":{slots}}},"status":{{"state":"ready","seq":{sequence},"coldLeftS":0}},"born":{born}}}"#
             )
         };
-        store.put("servers", id, Some(&entry(1)));
+        store.put("servers", id, &entry(1));
         thread::spawn(move || {
             for sequence in 2.. {
                 thread::sleep(HEARTBEAT);
-                store.put("servers", id, Some(&entry(sequence)));
+                store.put("servers", id, &entry(sequence));
             }
         });
     }
