--- a/tests/soak/host.rs
+++ b/tests/soak/host.rs
@@ -5,8 +5,8 @@
     fs::{self, File},
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
-    process::{self, Child, Command, Stdio},
-    sync::atomic::{AtomicU8, AtomicU32, Ordering},
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 
@@ -16,10 +16,10 @@
         unistd::Pid,
     },
     serde_json::json,
-    tokio::{net::TcpListener, sync::Mutex, time},
+    tokio::{sync::Mutex, time},
 };
 
-use crate::proxy::Proxy;
+use crate::{addresses::Addresses, proxy::Proxy};
 
 /// Time from SIGTERM until the process is killed.
 pub const GRACE: Duration = Duration::from_secs(4);
@@ -43,38 +43,6 @@
     disruptions: AtomicU32,
 }
 
-/// Free addresses for the listeners of one host.
-#[derive(Debug)]
-pub struct Addresses {
-    pub callers: SocketAddr,
-    pub readiness: SocketAddr,
-    pub directory: SocketAddr,
-    pub peers: SocketAddr,
-    pub metrics: SocketAddr,
-}
-
-impl Addresses {
-    /// Finds free ports at a loopback address that no other host and no outgoing connection uses.
-    pub async fn find() -> Addresses {
-        static NEXT: AtomicU8 = AtomicU8::new(1);
-        let [.., high, low] = process::id().to_be_bytes();
-        let last = NEXT.fetch_add(1, Ordering::Relaxed);
-        let own = IpAddr::V4(Ipv4Addr::new(127, high | 0x80, low, last));
-        let mut listeners = Vec::new();
-        for _ in 0..5 {
-            listeners.push(TcpListener::bind((own, 0)).await.expect("a port"));
-        }
-        let address = |index: usize| listeners[index].local_addr().expect("an address");
-        Addresses {
-            callers: address(0),
-            readiness: address(1),
-            directory: address(2),
-            peers: address(3),
-            metrics: address(4),
-        }
-    }
-}
-
 impl Host {
     /// Starts a host with its settings and its log in a folder.
     pub async fn spawn(
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -32,15 +32,18 @@
 };
 
 use crate::{
+    addresses::Addresses,
     caller::{ACCOUNTS, Caller},
     faults::Faults,
-    host::{Addresses, Host, ZONES},
+    host::{Host, ZONES},
     ledger::{BURST, Ledger, RATE},
     steady::SteadyState,
     store::Store,
     target::Target,
 };
 
+#[path = "../common/addresses.rs"]
+mod addresses;
 mod caller;
 mod faults;
 mod host;
