edge: hold the bodies of requests within a budget

What callers saw: the process ran out of memory while clients sent bodies that the configuration allows, each alone, and a body whose client stated a time of years was awaited for as long.

Cause: a body was buffered before its route, key and rate were known, until a deadline that its caller stated, and nothing bound all bodies together.

Change: route, key, rate and deadline come first, and a request without them is refused before its body has arrived; the rest of that body is read and dropped, so that the refusal arrives. The deadline is that of the route, and 120 s at most.

Why it works: what a host holds of bodies no longer follows the number of its callers, and one that cannot be served is never held.

--- a/toucanhoist-core/src/quarantine.rs
+++ b/toucanhoist-core/src/quarantine.rs
@@ -11,6 +11,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     fmt,
+    hash::Hasher,
     str::FromStr,
     time::Duration,
 };
@@ -32,24 +33,50 @@
 
 /// Hash that identifies all requests of the same content.
 #[derive(
-    Clone, Copy, Debug, DeserializeFromStr, Eq, Hash, Ord, PartialEq, PartialOrd, SerializeDisplay,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    DeserializeFromStr,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    SerializeDisplay,
 )]
 pub struct Fingerprint(u64);
 
 impl Fingerprint {
     /// Returns the fingerprint of a request made of `parts`.
     pub fn of(parts: &[&[u8]]) -> Fingerprint {
-        let length = |part: &[u8]| XxHash64::oneshot(0, &part.len().to_le_bytes());
-        let chain = |seed, part: &&[u8]| XxHash64::oneshot(seed ^ length(part), part);
+        let chain = |seed, part: &&[u8]| XxHash64::oneshot(seed ^ hash_of_length(part.len()), part);
         Fingerprint(parts.iter().fold(0, chain))
     }
 
+    /// Returns the fingerprint of a request made of `parts` and a last part of `length` bytes, which comes in
+    /// segments. It is that of the same parts in one piece each.
+    pub fn with_content<'a>(
+        parts: &[&[u8]],
+        length: usize,
+        segments: impl Iterator<Item = &'a [u8]>,
+    ) -> Fingerprint {
+        let Fingerprint(seed) = Fingerprint::of(parts);
+        let mut hash = XxHash64::with_seed(seed ^ hash_of_length(length));
+        segments.for_each(|segment| hash.write(segment));
+        Fingerprint(hash.finish())
+    }
+
     /// Returns the fingerprint as a number.
     pub fn as_u64(self) -> u64 {
         self.0
     }
 }
 
+fn hash_of_length(length: usize) -> u64 {
+    XxHash64::oneshot(0, &length.to_le_bytes())
+}
+
 impl From<u64> for Fingerprint {
     fn from(number: u64) -> Fingerprint {
         Fingerprint(number)
--- /dev/null
+++ b/toucanhoist-core/tests/machine.rs
@@ -0,0 +1,37 @@
+//! What clients can make a host hold fits into its machine.
+
+use {rstest::rstest, toucanhoist_core::machine::Machine};
+
+/// Largest body that the users' pages allow.
+const BODY_BYTES_MAX: usize = 64 * 1_024 * 1_024;
+/// Descriptors that a host needs for files, the store, and listeners.
+const DESCRIPTORS_LEFT: usize = 200;
+/// Part of the memory that is left for the process itself, its log, and what the kernel has received.
+const LEFT_FRACTION: usize = 5;
+
+#[rstest]
+#[case::smallest(Machine::default())]
+#[case::little_memory(Machine { memory: 64_000_000, descriptors: 4_100 })]
+#[case::few_descriptors(Machine { memory: 260_000_000, descriptors: 512 })]
+#[case::large(Machine { memory: 8_000_000_000, descriptors: 100_000 })]
+fn the_sum_of_all_limits_fits_into_the_machine(#[case] machine: Machine) {
+    let allotment = machine.allotment();
+    assert!(allotment.bytes() <= machine.memory - machine.memory / LEFT_FRACTION, "{allotment:?}");
+    assert!(allotment.connections() < machine.descriptors, "{allotment:?}");
+}
+
+#[test]
+fn the_smallest_machine_serves_what_the_pages_allow() {
+    let allotment = Machine::default().allotment();
+    assert!(allotment.held > BODY_BYTES_MAX, "{allotment:?}");
+    let open = allotment.connections();
+    assert!(open + DESCRIPTORS_LEFT <= Machine::default().descriptors, "{open}");
+    // The most that ordinary callers were seen to open at one host at the same time.
+    assert!(allotment.callers > 1_876, "{allotment:?}");
+}
+
+#[test]
+fn each_use_gets_something_on_any_machine() {
+    let allotment = Machine { memory: 0, descriptors: 0 }.allotment();
+    assert_eq!((allotment.callers, allotment.checks, allotment.tunnels), (1, 1, 1));
+}
--- a/toucanhoist-edge/src/gateway.rs
+++ b/toucanhoist-edge/src/gateway.rs
@@ -18,7 +18,7 @@
         task::JoinSet,
         time,
     },
-    toucanhoist_core::{event::Event, steering::Limits},
+    toucanhoist_core::{event::Event, memory::Budget, steering::Limits},
     toucanhoist_store::socket,
 };
 
@@ -51,6 +51,8 @@
     pub steer: steer::Handle,
     /// Connections to targets.
     pub targets: target::Pool,
+    /// Memory for what callers send and are sent.
+    pub memory: Arc<Budget>,
     /// Clock.
     pub clock: Clock,
     /// Log.
--- a/toucanhoist-edge/src/gateway/attempt.rs
+++ b/toucanhoist-edge/src/gateway/attempt.rs
@@ -13,9 +13,7 @@
 };
 
 use {
-    bytes::Bytes,
     http::{HeaderValue, Request, Response, StatusCode, header},
-    http_body_util::Full,
     tokio::time::{self, Instant},
     toucanhoist_core::{
         event::Event,
@@ -32,6 +30,7 @@
 };
 use crate::{
     headers::strip_hop_by_hop,
+    held::Content,
     steer::{Decision, Input, Lease},
     target::{self, Cause},
 };
@@ -344,9 +343,9 @@
 }
 
 /// Builds the request that is sent to a target.
-fn build(shared: &Shared, request: &Admitted, target: &id::Target) -> Request<Full<Bytes>> {
+fn build(shared: &Shared, request: &Admitted, target: &id::Target) -> Request<Content> {
     let dialect = &shared.dialect;
-    let mut built = Request::new(Full::new(request.body.clone()));
+    let mut built = Request::new(request.body.clone());
     *built.method_mut() = request.head.method.clone();
     if let Some(path) = request.head.uri.path_and_query() {
         *built.uri_mut() = path.clone().into();
--- a/toucanhoist-edge/src/gateway/request.rs
+++ b/toucanhoist-edge/src/gateway/request.rs
@@ -3,10 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use {
-    bytes::{Bytes, BytesMut},
     http::{HeaderMap, HeaderValue, Method, Request, Response, header, request::Parts},
     http_body_util::BodyExt,
-    hyper::body::Incoming,
+    hyper::body::{Body as _, Incoming},
     tokio::time::{self, Instant},
     toucanhoist_core::{
         event::Event,
@@ -24,9 +23,17 @@
     attempt,
     pipeline::Pipeline,
 };
+use crate::held::{Collector, Content};
 
 /// Time-out of a request whose caller states none, on a route without one.
 const TIMEOUT_DEFAULT: Duration = Duration::from_secs(10);
+/// Longest time-out, whatever the caller states.
+const TIMEOUT_MAX: Duration = Duration::from_secs(120);
+/// Time for which the rest of a refused request's body is read, as closing a connection with unread bytes resets it
+/// and may discard the refusal.
+const DISCARD_TIME: Duration = Duration::from_secs(2);
+/// `Retry-After` of a host whose memory for requests is used up.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Retry-After` of a host that has no configuration yet.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -49,7 +56,7 @@
     /// Hash of its content, which equal requests share.
     pub fingerprint: Fingerprint,
     pub head: Parts,
-    pub body: Bytes,
+    pub body: Content,
     /// When it arrived.
     pub arrived: Instant,
     /// When its caller stops waiting for an answer.
@@ -95,12 +102,16 @@
 }
 
 /// Returns the answer to a request, which may be a refusal.
-async fn respond(shared: &Arc<Shared>, head: Parts, body: Option<Incoming>) -> Response<Body> {
+async fn respond(shared: &Arc<Shared>, head: Parts, mut body: Option<Incoming>) -> Response<Body> {
     let arrived = Instant::now();
     let id = identifier(shared, &head.headers);
     let mut guard = AbandonGuard { shared, id: &id, arrived, is_armed: true };
-    let outcome = process(shared, &id, arrived, head, body).await;
+    let is_discarded = !head.headers.contains_key(header::EXPECT);
+    let outcome = process(shared, &id, arrived, head, &mut body).await;
     guard.is_armed = false;
+    if let Some(body) = body.filter(|body| is_discarded && !body.is_end_stream()) {
+        tokio::spawn(discard(body, shared.limits().body_bytes));
+    }
     match outcome {
         Ok(response) => response,
         Err(refusal) => {
@@ -146,26 +157,29 @@
     id: &str,
     arrived: Instant,
     head: Parts,
-    body: Option<Incoming>,
+    body: &mut Option<Incoming>,
 ) -> Result<Response<Body>, Refusal> {
-    let limits = shared.limits();
-    let wait = remaining_time(shared, &head.headers);
-    let deadline = arrived + wait.unwrap_or(TIMEOUT_DEFAULT);
-    let body = match body {
-        Some(body) => read(body, &head.headers, limits.body_bytes, deadline).await?,
-        None => Bytes::new(),
-    };
     let Some(routes) = shared.fleet.routes() else {
         return Err(Refusal::not_run(Code::NotReady, "no configuration has arrived")
             .retry_after(NOT_READY_RETRY_AFTER));
     };
-    let admitted = admit(shared, &routes, id, arrived, wait, head, body)?;
+    let mut admitted = admit(shared, &routes, id, arrived, head)?;
     if let Some(account) = admitted.account.as_ref().filter(|account| account.rate > 0.0) {
         take_token(shared, account, admitted.deadline).await?;
     }
+    if let Some(body) = body {
+        admitted.body = read(shared, body, &admitted).await?;
+    }
+    *body = None;
+    admitted.fingerprint = fingerprint(&admitted);
     attempt::run(shared, &admitted).await
 }
 
+fn memory_used_up() -> Refusal {
+    Refusal::not_run(Code::NoRoom, "the memory for requests is used up")
+        .retry_after(MEMORY_RETRY_AFTER)
+}
+
 /// Takes a token of a client account, which may have to come from another host. If the deadline passes
 /// before that, the request goes on and is refused when it asks for a target.
 async fn take_token(
@@ -182,16 +196,15 @@
     }
 }
 
-/// Determines the route, account, service and deadline of a request, or refuses it.
+/// Determines the route, account, service and deadline of a request, or refuses it. Its body is not read yet.
 fn admit(
     shared: &Shared,
     routes: &Routes,
     id: &str,
     arrived: Instant,
-    wait: Option<Duration>,
     head: Parts,
-    body: Bytes,
 ) -> Result<Admitted, Refusal> {
+    let wait = remaining_time(shared, &head.headers).map(|wait| wait.min(TIMEOUT_MAX));
     let (host, path) = (host(&head), head.uri.path());
     let route = routes
         .route(host, path)
@@ -218,15 +231,6 @@
     let object = object(&head.headers, &shared.dialect.object_cookie)
         .filter(|_| route.affinity)
         .map(|object| XxHash64::oneshot(0, object.as_bytes()) ^ route_hash(&route.name));
-    let account_name = account.as_ref().map_or("", |account| account.name.as_str());
-    let path_and_query = head.uri.path_and_query().map_or(path, |target| target.as_str());
-    let fingerprint = Fingerprint::of(&[
-        account_name.as_bytes(),
-        host.as_bytes(),
-        head.method.as_str().as_bytes(),
-        path_and_query.as_bytes(),
-        &body,
-    ]);
     Ok(Admitted {
         id: id.into(),
         route: Arc::clone(route),
@@ -235,14 +239,23 @@
         account,
         homes,
         object,
-        fingerprint,
+        fingerprint: Fingerprint::default(),
         head,
-        body,
+        body: Content::default(),
         arrived,
         deadline: arrived + wait,
     })
 }
 
+/// Returns the fingerprint of a request whose body has been read.
+fn fingerprint(request: &Admitted) -> Fingerprint {
+    let head = &request.head;
+    let account = request.account.as_ref().map_or("", |account| account.name.as_str());
+    let path = head.uri.path_and_query().map_or_else(|| head.uri.path(), |target| target.as_str());
+    let parts = [account, host(head), head.method.as_str(), path].map(str::as_bytes);
+    Fingerprint::with_content(&parts, request.body.length(), request.body.segments())
+}
+
 /// Returns the host name that a request is for.
 fn host(head: &Parts) -> &str {
     let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
@@ -291,36 +304,52 @@
         .find_map(|pair| pair.trim().strip_prefix(name)?.strip_prefix('='))
 }
 
-/// Reads a body of at most `limit` bytes, which must arrive before `deadline`.
+/// Reads the body of a request, which must arrive before its deadline.
 async fn read(
-    mut body: Incoming,
-    headers: &HeaderMap,
-    limit: usize,
-    deadline: Instant,
-) -> Result<Bytes, Refusal> {
+    shared: &Shared,
+    body: &mut Incoming,
+    request: &Admitted,
+) -> Result<Content, Refusal> {
+    let limit = shared.limits().body_bytes;
     let too_large =
         || Refusal::not_run(Code::BodyTooLarge, format!("the body is larger than {limit} bytes"));
-    let stated = headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
-    if stated.is_some_and(|stated: usize| stated > limit) {
+    let stated = request.head.headers.get(header::CONTENT_LENGTH);
+    let stated: usize = stated.and_then(|v| v.to_str().ok()?.parse().ok()).unwrap_or_default();
+    if stated > limit {
         return Err(too_large());
     }
-    let mut content = BytesMut::new();
+    let mut content = Collector::new(&shared.memory, stated);
     loop {
-        let frame = time::timeout_at(deadline, body.frame()).await.map_err(|_| {
+        let frame = time::timeout_at(request.deadline, body.frame()).await.map_err(|_| {
             Refusal::not_run(Code::NoRoom, "the body did not arrive before the request's deadline")
         })?;
-        let Some(frame) = frame else { return Ok(content.freeze()) };
+        let Some(frame) = frame else { return Ok(content.finish()) };
         let frame = frame.map_err(|error| {
             Refusal::not_run(Code::BadRequest, format!("the body is incomplete: {error}"))
         })?;
         let Ok(chunk) = frame.into_data() else { continue };
-        if content.len() + chunk.len() > limit {
+        if content.length() + chunk.len() > limit {
             return Err(too_large());
         }
-        content.extend_from_slice(&chunk);
+        content.push(&chunk).map_err(|_| memory_used_up())?;
     }
 }
 
+/// Reads the rest of a refused request's body, and holds none of it.
+async fn discard(mut body: Incoming, limit: usize) {
+    let reading = async {
+        let mut length = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            length += frame.data_ref().map_or(0, |chunk| chunk.len());
+            if length > limit {
+                return;
+            }
+        }
+    };
+    // The connection closes if there is more.
+    let _ = time::timeout(DISCARD_TIME, reading).await;
+}
+
 /// Whether the answer to a request never has a body.
 pub(super) fn is_without_body(method: &Method) -> bool {
     *method == Method::HEAD
--- a/toucanhoist-edge/src/host.rs
+++ b/toucanhoist-edge/src/host.rs
@@ -12,6 +12,7 @@
     toucanhoist_core::{
         event::Event,
         membership::Incarnation,
+        memory::Budget,
         steering::{EntryHost, Topic},
     },
     toucanhoist_store::socket,
@@ -86,6 +87,7 @@
         let started = clock::unix_ms();
         let (steer, steer_inputs) = steer::Handle::new();
         let dialect = Arc::new(dialect);
+        let memory = Budget::new(settings.machine.allotment().held);
         let targets = target::Pool::new(Arc::clone(&dialect), settings.connect_from, steer.clone());
         let (phase, phase_read) = watch::channel(Phase::Serving);
         let fleet = fleet::spawn(fleet::Parts {
@@ -112,6 +114,7 @@
         tokio::spawn(peers::serve(listeners.peers, fleet.clone(), tunnels.clone()));
         let shared = Arc::new(Shared {
             targets,
+            memory,
             settings,
             dialect,
             fleet,
--- a/toucanhoist-edge/src/lib.rs
+++ b/toucanhoist-edge/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod fleet;
 pub mod gateway;
 pub mod headers;
+pub mod held;
 pub mod host;
 pub mod journal;
 pub mod packing;
--- a/toucanhoist-edge/src/settings.rs
+++ b/toucanhoist-edge/src/settings.rs
@@ -15,9 +15,14 @@
 use {
     serde::{Deserialize, Serialize},
     serde_with::{DurationSecondsWithFrac, serde_as},
-    toucanhoist_core::id,
+    toucanhoist_core::{
+        id,
+        machine::{self, Allotment},
+    },
 };
 
+const BYTES_PER_MB: f64 = 1e6;
+
 /// Settings of one entry host.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Settings {
@@ -50,16 +55,35 @@
 
 /// Resources that a machine gives an entry host. Hosts that state none come last when hosts are chosen to
 /// follow the store for their region, or to be listed to callers.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
 pub struct Machine {
     /// Fraction of one processor's time.
     pub processor_share: f64,
     /// Capacity of its link, in Mbit/s.
     pub link_mbps: f64,
+    /// Memory, in MB; by default that of the smallest machine that hosts run on.
+    pub memory_mb: f64,
+    /// Descriptors that the process may have open; by default those of the smallest machine.
+    pub descriptors: usize,
+}
+
+impl Default for Machine {
+    fn default() -> Machine {
+        let machine::Machine { memory, descriptors } = machine::Machine::default();
+        let memory_mb = memory as f64 / BYTES_PER_MB;
+        Machine { processor_share: 0.0, link_mbps: 0.0, memory_mb, descriptors }
+    }
 }
 
 impl Machine {
+    /// Returns what each use of the machine gets.
+    pub fn allotment(&self) -> Allotment {
+        // The cast saturates.
+        let memory = (self.memory_mb * BYTES_PER_MB) as usize;
+        machine::Machine { memory, descriptors: self.descriptors }.allotment()
+    }
+
     /// Returns a score by which machines are compared for tasks that need both processor and link: a hundredth
     /// of a processor counts as much as 1 Mbit/s, and the scarcer of the two decides.
     pub fn capacity(&self) -> u32 {
--- a/toucanhoist-edge/src/target.rs
+++ b/toucanhoist-edge/src/target.rs
@@ -21,7 +21,7 @@
 use {
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, HeaderName, Method, Request, StatusCode, header, response::Parts},
-    http_body_util::{BodyExt, Full},
+    http_body_util::BodyExt,
     hyper::{body::Incoming, client::conn::http1},
     tokio::time::{self, Instant},
     toucanhoist_core::{
@@ -35,6 +35,7 @@
 use crate::{
     clock::Clock,
     dialect::Dialect,
+    held::Content,
     steer::{self, Input, Step},
 };
 
@@ -62,7 +63,7 @@
 /// Bytes of an answer's body that are buffered before any of it is sent to the caller.
 const BUFFER_BYTES: usize = 256 * 1_024;
 
-type Connection = http1::SendRequest<Full<Bytes>>;
+type Connection = http1::SendRequest<Content>;
 
 /// An address and the target that is expected there.
 type Endpoint = (SocketAddr, id::Target);
@@ -293,7 +294,7 @@
     pub async fn run(
         &self,
         exchange: Exchange<'_>,
-        build: impl Fn() -> Request<Full<Bytes>>,
+        build: impl Fn() -> Request<Content>,
     ) -> Result<Answer, Failure> {
         let endpoint = (exchange.address, exchange.target.clone());
         let begun = Instant::now();
@@ -330,7 +331,7 @@
         exchange: &Exchange<'_>,
         endpoint: &Endpoint,
         connected: Connected,
-        request: Request<Full<Bytes>>,
+        request: Request<Content>,
     ) -> Result<Option<Answer>, Error> {
         let Connected { mut connection, via, mut refused } = connected;
         let has_no_body = request.method() == Method::HEAD;
--- a/toucanhoist-edge/src/target/connect.rs
+++ b/toucanhoist-edge/src/target/connect.rs
@@ -7,7 +7,6 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use {
-    http_body_util::Full,
     hyper::{
         client::conn::http1,
         rt::{Read, Write},
@@ -160,7 +159,7 @@
     where
         T: Read + Write + Unpin + Send + 'static,
     {
-        let (sender, connection) = http1::handshake::<_, Full<_>>(stream).await.ok()?;
+        let (sender, connection) = http1::handshake(stream).await.ok()?;
         let (pool, endpoint) = (self.clone(), endpoint.clone());
         tokio::spawn(async move {
             // Bytes that belong to no request end the connection with one of these errors.
--- a/toucanhoist-edge/tests/edge.rs
+++ b/toucanhoist-edge/tests/edge.rs
@@ -22,6 +22,8 @@
 mod incomplete;
 #[path = "edge/leaving.rs"]
 mod leaving;
+#[path = "edge/limits.rs"]
+mod limits;
 #[path = "edge/malformed.rs"]
 mod malformed;
 #[path = "edge/odd_entries.rs"]
