edge: bound heads by the limit of the configuration

What callers saw: the process ran out of memory while clients sent heads without end, or empty lines before a request.

Cause: `maxHeaderBytes` was decoded and read by nobody. The HTTP library's defaults held instead: some 400 KB of a head, as much of read and write buffers for each connection, and 100 fields.

Change: heads, buffers and fields follow `maxHeaderBytes`; the request line may come on top of it (4 KB). As many of the shortest fields are taken as fit. A parsed head of such fields takes 0.5 MB, so what a head needs beyond 8 KB comes out of the budget of the host; it is taken as soon as the head is read, because the library may keep it for long before it asks for an answer. Without room the request is refused as not run, with a time to come back.

Why it works: the library reads no further than its buffer, and the buffer is as large as the largest head that must pass.

--- a/tests/crowd/main.rs
+++ b/tests/crowd/main.rs
@@ -46,6 +46,12 @@
     format!("{bytes:x}\r\n{}\r\n", "a".repeat(bytes))
 }
 
+/// Returns a request that waits, with a head of the shortest fields.
+fn many_fields() -> String {
+    let fields = "a:\r\n".repeat(4_000);
+    format!("GET /reads/wait HTTP/1.1\r\nhost: site.example\r\n{fields}\r\n")
+}
+
 /// Returns requests that are answered, and so long that a host reads much at once, and one that waits.
 fn pipelined() -> String {
     let field = "a".repeat(15_000);
@@ -83,6 +89,7 @@
     "",
     0
 )]
+#[case::many_fields(CALLERS, many_fields(), "", 0)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn crowd_of_callers_within_memory(
     #[case] count: usize,
--- a/toucanhoist-edge/src/gateway.rs
+++ b/toucanhoist-edge/src/gateway.rs
@@ -34,6 +34,12 @@
 
 /// Time for which a connection is kept beyond the configured idle time.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Bytes of a head beyond the configured limit, which may not count the request line.
+const HEAD_MARGIN_BYTES: usize = 4 * 1_024;
+/// Smallest buffer that the HTTP library accepts.
+const BUFFER_BYTES_MIN: usize = 8 * 1_024;
+/// Bytes of the shortest header field.
+const FIELD_BYTES_MIN: usize = 4;
 
 /// Interval between checks whether a connection has sent all early answers, so that it can close.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -112,14 +118,23 @@
     let pipeline = request::pipeline(&shared);
     let socket = Arc::new(stream);
     let stream = pipeline::Stream::new(Arc::clone(&socket), Arc::clone(&pipeline));
-    let service = service_fn(|request| {
+    let service = service_fn(|mut request| {
+        // Taken when the head has been read: the library may keep it for long before it polls the future.
+        let share = request::take_head_share(&shared, &request);
+        if share.is_none() {
+            request::shorten(&shared, &mut request);
+        }
         let (shared, pipeline) = (Arc::clone(&shared), Arc::clone(&pipeline));
-        async move { Ok::<_, Infallible>(request::handle(&shared, &pipeline, request).await) }
+        async move { Ok::<_, Infallible>(request::handle(&shared, &pipeline, share, request).await) }
     });
+    let head_bytes = limits.header_bytes.saturating_add(HEAD_MARGIN_BYTES);
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_time.max(limits.header_time) + IDLE_MARGIN);
+        .header_read_timeout(limits.idle_time.max(limits.header_time) + IDLE_MARGIN)
+        .max_header_size(head_bytes)
+        .max_headers(limits.header_bytes / FIELD_BYTES_MIN)
+        .max_buf_size(head_bytes.max(BUFFER_BYTES_MIN));
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     tokio::select! {
         // The connection has ended, so nobody is left to answer.
--- a/toucanhoist-edge/src/gateway/request.rs
+++ b/toucanhoist-edge/src/gateway/request.rs
@@ -10,6 +10,7 @@
     toucanhoist_core::{
         event::Event,
         id,
+        memory::Share,
         quarantine::Fingerprint,
         refusal::{Code, Refusal},
         steering::{AccountTerms, Route, Routes},
@@ -32,6 +33,10 @@
 /// Time for which the rest of a refused request's body is read, as closing a connection with unread bytes resets it
 /// and may discard the refusal.
 const DISCARD_TIME: Duration = Duration::from_secs(2);
+/// Memory of a header field that has been parsed, apart from its text.
+const FIELD_BYTES: usize = 128;
+/// Size of a parsed head that the memory of a connection covers.
+const FREE_HEAD_BYTES: usize = 8 * 1_024;
 /// `Retry-After` of a host whose memory for requests is used up.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Retry-After` of a host that has no configuration yet.
@@ -63,6 +68,27 @@
     pub deadline: Instant,
 }
 
+/// Memory of a request's head; `None` if the budget had no room for it.
+pub(super) type HeadShare = Option<Option<Share>>;
+
+/// Takes the memory that the head of a request needs beyond that of its connection.
+pub(super) fn take_head_share<B>(shared: &Shared, request: &Request<B>) -> HeadShare {
+    let headers = request.headers();
+    let text: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    let bytes = text + headers.len() * FIELD_BYTES;
+    if bytes <= FREE_HEAD_BYTES { Some(None) } else { shared.memory.take(bytes).map(Some) }
+}
+
+/// Drops the headers of a request but for its identifier.
+pub(super) fn shorten<B>(shared: &Shared, request: &mut Request<B>) {
+    let name = &shared.dialect.request_id;
+    let id = request.headers().get(name).map(|id| HeaderValue::from_bytes(id.as_bytes()));
+    request.headers_mut().clear();
+    if let Some(Ok(id)) = id {
+        request.headers_mut().insert(name.clone(), id);
+    }
+}
+
 /// Creates the pipeline of a connection, which starts repeatable requests early while the host serves.
 pub(super) fn pipeline(shared: &Arc<Shared>) -> Arc<Pipeline> {
     let shared = Arc::clone(shared);
@@ -73,7 +99,7 @@
             return None;
         }
         let (shared, head) = (Arc::clone(&shared), head.clone());
-        Some(tokio::spawn(async move { respond(&shared, head, None).await }))
+        Some(tokio::spawn(async move { respond(&shared, head, Some(None), None).await }))
     })
 }
 
@@ -81,6 +107,7 @@
 pub(super) async fn handle(
     shared: &Arc<Shared>,
     pipeline: &Pipeline,
+    head_share: HeadShare,
     request: Request<Incoming>,
 ) -> Response<Body> {
     let (head, body) = request.into_parts();
@@ -90,7 +117,7 @@
                 Refusal::may_have_run(Code::TargetFailed, "the task of the request failed");
             answer::of_refusal(&identifier(shared, &head.headers), &refusal, &shared.dialect)
         }),
-        None => respond(shared, head, Some(body)).await,
+        None => respond(shared, head, head_share, Some(body)).await,
     };
     pipeline.finish();
     response.body_mut().watch(pipeline.overdue());
@@ -102,12 +129,17 @@
 }
 
 /// Returns the answer to a request, which may be a refusal.
-async fn respond(shared: &Arc<Shared>, head: Parts, mut body: Option<Incoming>) -> Response<Body> {
+async fn respond(
+    shared: &Arc<Shared>,
+    head: Parts,
+    head_share: HeadShare,
+    mut body: Option<Incoming>,
+) -> Response<Body> {
     let arrived = Instant::now();
     let id = identifier(shared, &head.headers);
     let mut guard = AbandonGuard { shared, id: &id, arrived, is_armed: true };
     let is_discarded = !head.headers.contains_key(header::EXPECT);
-    let outcome = process(shared, &id, arrived, head, &mut body).await;
+    let outcome = process(shared, &id, arrived, head, head_share, &mut body).await;
     guard.is_armed = false;
     if let Some(body) = body.filter(|body| is_discarded && !body.is_end_stream()) {
         tokio::spawn(discard(body, shared.limits().body_bytes));
@@ -157,8 +189,10 @@
     id: &str,
     arrived: Instant,
     head: Parts,
+    head_share: HeadShare,
     body: &mut Option<Incoming>,
 ) -> Result<Response<Body>, Refusal> {
+    let _head_share = head_share.ok_or_else(memory_used_up)?;
     let Some(routes) = shared.fleet.routes() else {
         return Err(Refusal::not_run(Code::NotReady, "no configuration has arrived")
             .retry_after(NOT_READY_RETRY_AFTER));
--- a/toucanhoist-edge/tests/edge/limits.rs
+++ b/toucanhoist-edge/tests/edge/limits.rs
@@ -12,12 +12,56 @@
     site, status, wait_until_ready,
 };
 
+const HEAD_BYTES: usize = 16 * 1_024;
 const BODY_BYTES: usize = 64 * 1_024 * 1_024;
 
 fn head(fields: &str) -> String {
     format!("GET /open/a HTTP/1.1\r\nhost: site.example\r\n{fields}\r\n")
 }
 
+fn padded(bytes: usize) -> String {
+    let rest = head("x-a: \r\n").len();
+    head(&format!("x-a: {}\r\n", "a".repeat(bytes - rest)))
+}
+
+#[rstest]
+#[case::more_fields_than_the_library_takes_by_default(head(&"x-a: aaaaaaaaaaaaa\r\n".repeat(120)), 200)]
+#[case::shortest_fields(head(&"a:\r\n".repeat(4_000)), 200)]
+#[case::at_the_limit(padded(HEAD_BYTES), 200)]
+#[case::beyond_the_limit(padded(2 * HEAD_BYTES), 431)]
+#[case::behind_empty_lines(format!("\r\n\r\n{}", head("")), 200)]
+#[tokio::test]
+async fn heads_are_served_up_to_the_limit(#[case] text: String, #[case] expected: u16) {
+    let target = FakeTarget::spawn(Behaviour::Answer).await;
+    let (edge, _store) = site(&[("t1", &target)]).await;
+    // On a connection that is kept, and on a new one.
+    let mut stream = TcpStream::connect(edge.addresses().callers).await.expect("a connection");
+    for text in [&head(""), &text] {
+        stream.write_all(text.as_bytes()).await.expect("a request");
+        let (head, _) = read(&mut stream).await.expect("an answer");
+        assert_eq!(status(&head), if text.len() < 100 { 200 } else { expected }, "{head}");
+    }
+    assert_eq!(send(edge.addresses().callers, &text).await.0, expected);
+}
+
+/// A head that is read in small pieces is served like any other, also behind another request.
+#[tokio::test]
+async fn a_head_in_pieces_is_served() {
+    let target = FakeTarget::spawn(Behaviour::Answer).await;
+    let (edge, _store) = site(&[("t1", &target)]).await;
+    let mut stream = TcpStream::connect(edge.addresses().callers).await.expect("a connection");
+    stream.set_nodelay(true).expect("an option");
+    let text = head("x-a: b\r\n").repeat(3);
+    for piece in text.as_bytes().chunks(7) {
+        stream.write_all(piece).await.expect("part of a request");
+        tokio::task::yield_now().await;
+    }
+    for _ in 0..3 {
+        let (head, body) = read(&mut stream).await.expect("an answer");
+        assert_eq!((status(&head), &*body), (200, "/open/a"));
+    }
+}
+
 async fn large_site(target: &FakeTarget) -> (Edge, std::sync::Arc<Memory>) {
     let store = Memory::new();
     let limits = Limits { body_bytes: BODY_BYTES, ..Limits::default() };
@@ -106,9 +150,11 @@
     };
     let callers = edge.addresses().callers;
     let before = target.request_count();
-    let (status, head, body) = send(callers, &post(100_000)).await;
-    assert_eq!(status, 503, "{head}{body}");
-    assert!(body.contains("not-run") && header(&head, "retry-after").is_some(), "{head}{body}");
+    for text in [post(100_000), head(&"a:\r\n".repeat(4_000))] {
+        let (status, head, body) = send(callers, &text).await;
+        assert_eq!(status, 503, "{head}{body}");
+        assert!(body.contains("not-run") && header(&head, "retry-after").is_some(), "{head}{body}");
+    }
     assert_eq!(target.request_count(), before);
     assert_eq!(send(callers, &post(500)).await.0, 200);
     assert_eq!(get(callers, "/safe/a", "r-1").await.0, 200);
