edge: parse pipelined requests ahead only as far as they may start

Cause: each head in the buffer got an entry of the size of a whole head, also where nothing was started; the bytes of an incomplete head were kept without a bound, and parsed from their start at each read.

Change: at most eight requests are parsed ahead, and the next when one of them is taken; until then they stay bytes, 16 KB at most. After more, no request of the connection starts early. A head is parsed when its empty line has arrived. A request that starts early takes 16 KB of the host's budget, and waits for its turn where there is none.

Why it works: four requests of a connection may run early, so more heads than that need not be known.

--- a/toucanhoist-edge/src/gateway/pipeline.rs
+++ b/toucanhoist-edge/src/gateway/pipeline.rs
@@ -12,12 +12,13 @@
     io,
     net::Shutdown,
     pin::Pin,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, MutexGuard},
     task::{Context, Poll, ready},
     time::Duration,
 };
 
 use {
+    bytes::{Buf, BytesMut},
     http::{HeaderName, HeaderValue, Method, Request, Response, Version, header, request::Parts},
     socket2::SockRef,
     tokio::{
@@ -33,8 +34,14 @@
 
 /// Requests of one connection that may run early; more would let one caller crowd out others.
 const EARLY_ANSWERS_MAX: usize = 4;
-/// Headers of one request; the HTTP library takes no more.
+/// Headers of one request; one with more does not start early.
 const HEADERS_MAX: usize = 100;
+/// Pipelined requests that are parsed ahead; the others stay bytes until then.
+const WAITING_MAX: usize = 2 * EARLY_ANSWERS_MAX;
+/// Bytes of heads that are kept to be parsed. After more of them, no request of the connection starts early.
+const PENDING_BYTES_MAX: usize = 16 * 1_024;
+/// End of a head: the end of its last line, and an empty line.
+const EMPTY_LINE: &[u8] = b"\n\r\n";
 /// Interval between checks for a disconnected caller; a fraction of the time within which its requests must
 /// be cancelled.
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(150);
@@ -99,13 +106,20 @@
 
     /// Parses bytes that are passed to the HTTP library, and starts the requests that may run early.
     fn observe(&self, bytes: &[u8]) {
-        let mut state = self.state.lock().expect("no holder of the lock panics");
-        for head in state.heads.read(bytes) {
+        let mut state = self.state();
+        state.heads.push(bytes);
+        self.advance(&mut state);
+    }
+
+    /// Parses heads that have arrived, as far as they may be parsed ahead.
+    fn advance(&self, state: &mut State) {
+        while state.waiting.len() < WAITING_MAX {
+            let Some(head) = state.heads.next() else { return };
             let is_next = !state.is_busy && state.waiting.is_empty();
             let early = state.waiting.iter().flatten().count();
             let answer =
                 if is_next || early >= EARLY_ANSWERS_MAX { None } else { (self.start)(&head) };
-            state.waiting.push_back(answer.map(|answer| EarlyAnswer { head, answer }));
+            state.waiting.push_back(answer.map(|answer| EarlyAnswer { head: *head, answer }));
             if !is_next {
                 self.queued.notify_one();
             }
@@ -114,26 +128,30 @@
 
     /// Takes the early answer to the next request; `None` if it was not started early, or with another head.
     pub(super) fn take(&self, head: &Parts) -> Option<EarlyAnswer> {
-        let mut state = self.state.lock().expect("no holder of the lock panics");
+        let mut state = self.state();
         state.is_busy = true;
-        let early = state.waiting.pop_front()??;
-        is_same(&early.head, head).then_some(early)
+        let early = state.waiting.pop_front().flatten();
+        self.advance(&mut state);
+        early.filter(|early| is_same(&early.head, head))
     }
 
     /// Whether requests wait for an earlier one.
     fn is_waiting(&self) -> bool {
-        !self.state.lock().expect("no holder of the lock panics").waiting.is_empty()
+        !self.state().waiting.is_empty()
     }
 
     /// Whether requests that wait for their turn have been started.
     pub(super) fn has_early_answers(&self) -> bool {
-        let state = self.state.lock().expect("no holder of the lock panics");
-        state.waiting.iter().any(Option::is_some)
+        self.state().waiting.iter().any(Option::is_some)
     }
 
     /// Records that the request that was taken last has been answered.
     pub(super) fn finish(&self) {
-        self.state.lock().expect("no holder of the lock panics").is_busy = false;
+        self.state().is_busy = false;
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
     }
 }
 
@@ -144,31 +162,61 @@
 /// Parses the heads of requests without a body in the bytes of a connection.
 #[derive(Default)]
 struct HeadReader {
-    pending: Vec<u8>,
+    pending: BytesMut,
+    /// Bytes at the start of `pending` that hold no end of a head.
+    searched: usize,
     /// Whether parsing has stopped, as something other than a request without a body arrived.
     is_stopped: bool,
 }
 
 impl HeadReader {
-    fn read(&mut self, bytes: &[u8]) -> Vec<Parts> {
-        let mut found = Vec::new();
+    fn push(&mut self, bytes: &[u8]) {
         if self.is_stopped {
-            return found;
+            return;
+        }
+        if self.pending.len() + bytes.len() > PENDING_BYTES_MAX {
+            return self.stop();
         }
         self.pending.extend_from_slice(bytes);
-        while !self.pending.is_empty() {
-            match next(&self.pending) {
-                Next::Head(head, length) => {
-                    self.pending.drain(..length);
-                    found.push(*head);
-                }
-                Next::Incomplete => break,
-                Next::Unsupported => {
-                    (self.pending, self.is_stopped) = (Vec::new(), true);
+    }
+
+    /// Returns the next head; `None` if it is not complete, or nothing more is parsed.
+    fn next(&mut self) -> Option<Box<Parts>> {
+        if !self.has_end() {
+            return None;
+        }
+        match next(&self.pending) {
+            Next::Head(head, length) => {
+                self.pending.advance(length);
+                self.searched = 0;
+                if self.pending.is_empty() {
+                    // An idle connection keeps no buffer.
+                    self.pending = BytesMut::new();
                 }
+                Some(head)
+            }
+            Next::Incomplete => None,
+            Next::Unsupported => {
+                self.stop();
+                None
             }
         }
-        found
+    }
+
+    /// Whether an empty line has arrived since the last call. Without one, parsing a head again that arrives in many
+    /// pieces would take time that grows with the square of its length.
+    fn has_end(&mut self) -> bool {
+        let from = self.searched.saturating_sub(EMPTY_LINE.len() - 1);
+        self.searched = self.pending.len();
+        let fresh = &self.pending[from..];
+        let is_end = |(index, byte): (usize, &u8)| {
+            *byte == b'\n' && matches!(&fresh[index + 1..], [b'\n', ..] | [b'\r', b'\n', ..])
+        };
+        fresh.iter().enumerate().any(is_end)
+    }
+
+    fn stop(&mut self) {
+        *self = HeadReader { is_stopped: true, ..HeadReader::default() };
     }
 }
 
--- a/toucanhoist-edge/src/gateway/request.rs
+++ b/toucanhoist-edge/src/gateway/request.rs
@@ -37,6 +37,8 @@
 const FIELD_BYTES: usize = 128;
 /// Size of a parsed head that the memory of a connection covers.
 const FREE_HEAD_BYTES: usize = 8 * 1_024;
+/// Memory of a request that is started before its turn.
+const EARLY_BYTES: usize = 16 * 1_024;
 /// `Retry-After` of a host whose memory for requests is used up.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Retry-After` of a host that has no configuration yet.
@@ -98,8 +100,9 @@
         if !is_repeatable || *shared.phase.borrow() != Phase::Serving {
             return None;
         }
+        let share = shared.memory.take(EARLY_BYTES)?;
         let (shared, head) = (Arc::clone(&shared), head.clone());
-        Some(tokio::spawn(async move { respond(&shared, head, Some(None), None).await }))
+        Some(tokio::spawn(async move { respond(&shared, head, Some(Some(share)), None).await }))
     })
 }
 
