edge: end a head that does not get complete in time

What callers saw: connections that send a head one byte at a time stayed for the idle time-out, and kept their place.

Cause: the HTTP library has one time-out from the end of an answer to the end of the next head. It was the longer of `headerTimeoutS` and `idleTimeoutS`, as an idle connection may wait for the latter.

Change: the stream notes when bytes arrive while no request is being handled, and the connection is closed when the head is not complete within `headerTimeoutS` and a second. Nothing of the request has been read then, and callers may send it again.

Why it works: the time counts from the first byte of the head, which only the stream knows; an idle connection has none.

--- a/toucanhoist-edge/src/gateway.rs
+++ b/toucanhoist-edge/src/gateway.rs
@@ -32,8 +32,8 @@
 mod pipeline;
 mod request;
 
-/// Time for which a connection is kept beyond the configured idle time.
-const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Time for which a connection is kept beyond the configured idle time, and a head beyond the configured one.
+const TIME_MARGIN: Duration = Duration::from_secs(1);
 /// Bytes of a head beyond the configured limit, which may not count the request line.
 const HEAD_MARGIN_BYTES: usize = 4 * 1_024;
 /// Smallest buffer that the HTTP library accepts.
@@ -131,7 +131,7 @@
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_time.max(limits.header_time) + IDLE_MARGIN)
+        .header_read_timeout(limits.idle_time.max(limits.header_time) + TIME_MARGIN)
         .max_header_size(head_bytes)
         .max_headers(limits.header_bytes / FIELD_BYTES_MIN)
         .max_buf_size(head_bytes.max(BUFFER_BYTES_MIN));
@@ -140,6 +140,7 @@
         // The connection has ended, so nobody is left to answer.
         _ = connection.as_mut() => return,
         () = pipeline::caller_disconnected(&socket, &pipeline) => return,
+        () = pipeline.head_overdue(limits.header_time + TIME_MARGIN) => return,
         () = pipeline.overdue().notified() => return reset(&socket),
         // Requests that have started are answered before the connection closes.
         () = closing(&mut phase, &pipeline) => {}
--- a/toucanhoist-edge/src/gateway/pipeline.rs
+++ b/toucanhoist-edge/src/gateway/pipeline.rs
@@ -5,7 +5,8 @@
 //! passes to the library. A repeatable request without a body starts as soon as its head is complete, and
 //! its answer is kept until its turn. The library still parses each request itself, and an early answer
 //! is used only if both heads are equal. After a request with a body no request starts early, since
-//! bodies are not parsed here.
+//! bodies are not parsed here. The stream also shows when a head has begun, so that one that does not
+//! end is given up sooner than an idle connection.
 
 use std::{
     collections::VecDeque,
@@ -26,7 +27,7 @@
         net::TcpStream,
         sync::Notify,
         task::JoinHandle,
-        time,
+        time::{self, Instant},
     },
 };
 
@@ -80,6 +81,8 @@
     queued: Notify,
     /// Notified when the deadline of an answer passes that has not been sent whole.
     overdue: Arc<Notify>,
+    /// Notified when part of a head has arrived.
+    head_begun: Notify,
 }
 
 #[derive(Default)]
@@ -89,14 +92,17 @@
     waiting: VecDeque<Option<EarlyAnswer>>,
     /// Whether a request is being handled.
     is_busy: bool,
+    /// When the head began to arrive that is not complete; `None` if none has begun.
+    head_since: Option<Instant>,
 }
 
 impl Pipeline {
     pub(super) fn new(
         start: impl Fn(&Parts) -> Option<AnswerTask> + Send + Sync + 'static,
     ) -> Arc<Pipeline> {
-        let (state, queued) = (Mutex::default(), Notify::new());
-        Arc::new(Pipeline { state, start: Box::new(start), queued, overdue: Arc::default() })
+        let (state, queued, head_begun) = (Mutex::default(), Notify::new(), Notify::new());
+        let overdue = Arc::default();
+        Arc::new(Pipeline { state, start: Box::new(start), queued, overdue, head_begun })
     }
 
     /// Returns what is notified when the deadline of an answer passes that has not been sent whole.
@@ -109,6 +115,10 @@
         let mut state = self.state();
         state.heads.push(bytes);
         self.advance(&mut state);
+        if !state.is_busy && state.waiting.is_empty() {
+            state.head_since.get_or_insert_with(Instant::now);
+            self.head_begun.notify_one();
+        }
     }
 
     /// Parses heads that have arrived, as far as they may be parsed ahead.
@@ -126,10 +136,28 @@
         }
     }
 
+    /// Waits until a head has not been complete for `limit` since it began.
+    pub(super) async fn head_overdue(&self, limit: Duration) {
+        loop {
+            self.head_begun.notified().await;
+            while let Some(end) = self.head_since().map(|since| since + limit) {
+                if Instant::now() >= end {
+                    return;
+                }
+                time::sleep_until(end).await;
+            }
+        }
+    }
+
+    fn head_since(&self) -> Option<Instant> {
+        self.state().head_since
+    }
+
     /// Takes the early answer to the next request; `None` if it was not started early, or with another head.
     pub(super) fn take(&self, head: &Parts) -> Option<EarlyAnswer> {
         let mut state = self.state();
         state.is_busy = true;
+        state.head_since = None;
         let early = state.waiting.pop_front().flatten();
         self.advance(&mut state);
         early.filter(|early| is_same(&early.head, head))
@@ -147,7 +175,12 @@
 
     /// Records that the request that was taken last has been answered.
     pub(super) fn finish(&self) {
-        self.state().is_busy = false;
+        let mut state = self.state();
+        state.is_busy = false;
+        if state.waiting.is_empty() && state.heads.has_begun() {
+            state.head_since = Some(Instant::now());
+            self.head_begun.notify_one();
+        }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -215,6 +248,11 @@
         fresh.iter().enumerate().any(is_end)
     }
 
+    /// Whether part of a head has arrived.
+    fn has_begun(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
     fn stop(&mut self) {
         *self = HeadReader { is_stopped: true, ..HeadReader::default() };
     }
