edge: hold the beginnings of answers within the budget

What callers saw: the process ran out of memory while clients asked for long answers and read none of them.

Cause: up to 256 KB of each answer are buffered before any of it is sent, in one piece, which the write buffer of the connection kept until all of it was sent. Nothing bound all answers together.

Change: the beginning of an answer is held in segments of 16 KB out of the budget that requests use, and each is given back when it has been sent. When the budget is used up, the answer is passed on as it comes instead of being held; it is delivered in any case.

Why it works: a caller that does not read holds up its target, not memory.

--- a/toucanhoist-edge/src/gateway/answer.rs
+++ b/toucanhoist-edge/src/gateway/answer.rs
@@ -27,20 +27,20 @@
 };
 
 use super::{Shared, request::Admitted};
-use crate::{dialect::Dialect, headers::strip_hop_by_hop, steer::Lease};
+use crate::{dialect::Dialect, headers::strip_hop_by_hop, held::Content, steer::Lease};
 
 const MEDIA_TYPE: &str = "application/problem+json";
 
 /// Body of an answer.
 #[derive(Debug, Default)]
 pub(super) struct Body {
-    first: Option<Bytes>,
+    first: Content,
     rest: Option<Box<Rest>>,
 }
 
 impl Body {
     fn complete(content: Bytes) -> Body {
-        Body { first: Some(content), rest: None }
+        Body { first: content.into(), ..Body::default() }
     }
 
     /// Notifies `overdue` when the deadline passes before the whole body has been sent. The body itself may not
@@ -131,7 +131,7 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        if let Some(first) = self.first.take().filter(|first| !first.is_empty()) {
+        if let Some(first) = self.first.take_next() {
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
         let Some(rest) = &mut self.rest else { return Poll::Ready(None) };
@@ -148,11 +148,11 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.first.as_ref().is_none_or(Bytes::is_empty) && self.rest.is_none()
+        self.first.length() == 0 && self.rest.is_none()
     }
 
     fn size_hint(&self) -> SizeHint {
-        let first = self.first.as_ref().map_or(0, Bytes::len) as u64;
+        let first = self.first.length() as u64;
         match &self.rest {
             Some(rest) => {
                 let body = &rest.body;
@@ -173,11 +173,11 @@
 /// state the length of a body but have none, as those to HEAD requests.
 pub(super) fn of_target(
     head: Parts,
-    first: Bytes,
+    first: Content,
     rest: Option<Rest>,
     without_body: bool,
 ) -> Response<Body> {
-    let mut response = Response::new(Body { first: Some(first), rest: rest.map(Box::new) });
+    let mut response = Response::new(Body { first, rest: rest.map(Box::new) });
     *response.status_mut() = head.status;
     *response.headers_mut() = head.headers;
     let headers = response.headers_mut();
--- a/toucanhoist-edge/src/host.rs
+++ b/toucanhoist-edge/src/host.rs
@@ -88,7 +88,12 @@
         let (steer, steer_inputs) = steer::Handle::new();
         let dialect = Arc::new(dialect);
         let memory = Budget::new(settings.machine.allotment().held);
-        let targets = target::Pool::new(Arc::clone(&dialect), settings.connect_from, steer.clone());
+        let targets = target::Pool::new(
+            Arc::clone(&dialect),
+            settings.connect_from,
+            steer.clone(),
+            Arc::clone(&memory),
+        );
         let (phase, phase_read) = watch::channel(Phase::Serving);
         let fleet = fleet::spawn(fleet::Parts {
             settings: Arc::clone(&settings),
--- a/toucanhoist-edge/src/target.rs
+++ b/toucanhoist-edge/src/target.rs
@@ -19,13 +19,13 @@
 };
 
 use {
-    bytes::{Bytes, BytesMut},
     http::{HeaderMap, HeaderName, Method, Request, StatusCode, header, response::Parts},
     http_body_util::BodyExt,
     hyper::{body::Incoming, client::conn::http1},
     tokio::time::{self, Instant},
     toucanhoist_core::{
         id,
+        memory::Budget,
         steering::{Announced, Gate, HOLD_MAX, Report},
     },
     twox_hash::XxHash64,
@@ -35,7 +35,7 @@
 use crate::{
     clock::Clock,
     dialect::Dialect,
-    held::Content,
+    held::{Collector, Content},
     steer::{self, Input, Step},
 };
 
@@ -80,6 +80,8 @@
     /// Local address of the connections; `None` leaves the choice to the system.
     local: Option<IpAddr>,
     steer: steer::Handle,
+    /// Memory for what targets send.
+    memory: Arc<Budget>,
     state: Mutex<State>,
 }
 
@@ -137,7 +139,7 @@
     /// Status and headers.
     pub head: Parts,
     /// First part of the body, or all of it.
-    pub first: Bytes,
+    pub first: Content,
     /// Rest of a body that is larger than the buffer.
     pub rest: Option<Incoming>,
     /// Load that the target reports.
@@ -280,9 +282,14 @@
 impl Pool {
     /// Creates an empty pool, whose direct connections are made from `local` if it is given. `steer` decides
     /// by which paths.
-    pub fn new(dialect: Arc<Dialect>, local: Option<IpAddr>, steer: steer::Handle) -> Pool {
+    pub fn new(
+        dialect: Arc<Dialect>,
+        local: Option<IpAddr>,
+        steer: steer::Handle,
+        memory: Arc<Budget>,
+    ) -> Pool {
         let state = Mutex::default();
-        Pool { shared: Arc::new(Shared { dialect, local, steer, state }) }
+        Pool { shared: Arc::new(Shared { dialect, local, steer, memory, state }) }
     }
 
     /// Runs a request on a target. `build` is called for each connection that is tried, as a kept one may
@@ -356,7 +363,7 @@
             return Err(Error::Broken(Cause::Closed));
         }
         let until = reusable_until(&head.headers);
-        let (first, rest) = read(body).await?;
+        let (first, rest) = read(body, &self.shared.memory).await?;
         let host = via.as_ref().map(|via| via.host.clone());
         if rest.is_none() {
             if not_run {
@@ -483,18 +490,25 @@
     }
 }
 
-/// Reads a body, up to [`BUFFER_BYTES`]; the rest of a longer one is returned unread.
-async fn read(mut body: Incoming) -> Result<(Bytes, Option<Incoming>), Error> {
-    let mut first = BytesMut::new();
+/// Reads a body, up to [`BUFFER_BYTES`] and as far as the budget reaches; the rest of a longer one is returned
+/// unread.
+async fn read(
+    mut body: Incoming,
+    memory: &Arc<Budget>,
+) -> Result<(Content, Option<Incoming>), Error> {
+    let mut first = Collector::new(memory, 0);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| Error::Broken(error.into()))?;
-        let Ok(chunk) = frame.into_data() else { continue };
-        first.extend_from_slice(&chunk);
-        if first.len() >= BUFFER_BYTES {
-            return Ok((first.freeze(), Some(body)));
+        let Ok(mut chunk) = frame.into_data() else { continue };
+        if let Err(exhausted) = first.push(&chunk) {
+            first.push_uncounted(chunk.split_off(exhausted.taken));
+            return Ok((first.finish(), Some(body)));
+        }
+        if first.length() >= BUFFER_BYTES {
+            return Ok((first.finish(), Some(body)));
         }
     }
-    Ok((first.freeze(), None))
+    Ok((first.finish(), None))
 }
 
 /// Whether an answer's body ends with the connection. Through a tunnel its end may as well be that of the
--- a/toucanhoist-edge/tests/edge/limits.rs
+++ b/toucanhoist-edge/tests/edge/limits.rs
@@ -2,7 +2,10 @@
 
 use {
     rstest::rstest,
-    tokio::{io::AsyncWriteExt, net::TcpStream},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
     toucanhoist_core::steering::{Config, Key, Limits, Value},
     toucanhoist_edge::host::Edge,
 };
@@ -158,6 +161,15 @@
     assert_eq!(target.request_count(), before);
     assert_eq!(send(callers, &post(500)).await.0, 200);
     assert_eq!(get(callers, "/safe/a", "r-1").await.0, 200);
+    // Large answers are streamed instead of being held.
+    target.set_behaviour(Behaviour::Large);
+    let mut stream = TcpStream::connect(callers).await.expect("a connection");
+    let text = head("connection: close\r\n");
+    stream.write_all(text.as_bytes()).await.expect("a request");
+    let mut received = Vec::new();
+    stream.read_to_end(&mut received).await.expect("an answer");
+    assert!(received.len() > super::support::LARGE_BODY_BYTES, "{}", received.len());
     drop(taken);
+    target.set_behaviour(Behaviour::Answer);
     assert_eq!(send(callers, &post(100_000)).await.0, 200);
 }
