edge: bound the buffers of connections to targets

What callers saw: the process ran out of memory while a target answered each request with a head without end.

Cause: the HTTP library's default of some 400 KB for the buffers of a connection.

Change: 24 KB, which is also the longest head of an answer. A longer one ends the exchange as one that may have run.

Why it works: the library reads no further than its buffer.

--- a/toucanhoist-edge/src/target/connect.rs
+++ b/toucanhoist-edge/src/target/connect.rs
@@ -31,6 +31,9 @@
     steer::{Input, Step},
 };
 
+/// Bytes of the buffers of a connection, and of the longest head of an answer.
+const BUFFER_BYTES_MAX: usize = 24 * 1_024;
+
 /// A new connection to a target.
 #[derive(Debug)]
 pub(super) struct Connected {
@@ -159,7 +162,9 @@
     where
         T: Read + Write + Unpin + Send + 'static,
     {
-        let (sender, connection) = http1::handshake(stream).await.ok()?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(BUFFER_BYTES_MAX);
+        let (sender, connection) = builder.handshake(stream).await.ok()?;
         let (pool, endpoint) = (self.clone(), endpoint.clone());
         tokio::spawn(async move {
             // Bytes that belong to no request end the connection with one of these errors.
