edge: give each port a number of connections of its own

What callers saw: clients that only connect, on any port, took all descriptors of the process. An ordinary request beside them got no answer, and the host had none left for targets, the store and other hosts.

Cause: `accept` ran until there were no descriptors left; nothing bound how many connections a port has.

Change: the descriptors of the machine are shared out among the ports, tunnels and targets, so that one that is full takes nothing from the others. When a port is full, the connection that has waited longest for a whole request is closed for a new one: new ones, unfinished heads and bodies, and idle ones alike. One whose request may be at a target is never closed; if all are such, the new one is closed unread. A connection to be closed takes no request any more, so none is cut after it was sent. A full port is counted, and logged once a second (`port-full`, 1102). An exchange with a target needs a permit, and as many connections may be idle as permits are left; without one the request is refused as not run. The system's limit for the process holds where it is lower than the settings.

Ruled out: to stop accepting when a port is full, as ordinary callers then wait behind those that send nothing; to close idle connections only after those that never had a request, as a crowd with one answered request each would then have every newcomer closed first.

Why it works: whoever waits longest goes first, so a newcomer that sends its request has the time that a whole port of newcomers takes to arrive.

--- a/toucanhoist-core/src/event.rs
+++ b/toucanhoist-core/src/event.rs
@@ -67,6 +67,8 @@
     ShutdownForced 1004 Warn "shutdown-forced"
     /// A connection could not be accepted.
     AcceptFailed 1101 Warn "accept-failed"
+    /// A port is full.
+    PortFull 1102 Warn "port-full"
     /// A caller's look-up was answered.
     LookedUp 2001 Info "looked-up"
     /// A request could not be read and was refused.
--- a/toucanhoist-core/src/lib.rs
+++ b/toucanhoist-core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod catalog;
 pub mod clock;
 pub mod configuration;
+pub mod connections;
 mod error;
 pub mod event;
 pub mod fleet;
--- a/toucanhoist-edge/src/directory.rs
+++ b/toucanhoist-edge/src/directory.rs
@@ -16,7 +16,9 @@
 };
 
 use crate::{
+    connections::Port,
     gateway::{Phase, Shared},
+    journal::Journal,
     recorder, server,
 };
 
@@ -28,19 +30,21 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Serves the directory.
-pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
-    listen(listener, move |request| directory(&shared, request)).await;
+pub async fn serve(listener: TcpListener, port: Arc<Port>, shared: Arc<Shared>) {
+    let journal = Arc::clone(&shared.journal);
+    listen(listener, port, journal, move |request| directory(&shared, request)).await;
 }
 
 /// Serves the readiness check.
-pub async fn serve_readiness(listener: TcpListener, shared: Arc<Shared>) {
-    listen(listener, move |request| readiness(&shared, request)).await;
+pub async fn serve_readiness(listener: TcpListener, port: Arc<Port>, shared: Arc<Shared>) {
+    let journal = Arc::clone(&shared.journal);
+    listen(listener, port, journal, move |request| readiness(&shared, request)).await;
 }
 
 /// Serves the metrics.
-pub async fn serve_metrics(listener: TcpListener) {
+pub async fn serve_metrics(listener: TcpListener, port: Arc<Port>, journal: Arc<Journal>) {
     let metrics = recorder::install();
-    listen(listener, |_| {
+    listen(listener, port, journal, |_| {
         let mut answer = Response::new(Full::new(metrics.render().into()));
         let text = http::HeaderValue::from_static("text/plain; version=0.0.4");
         answer.headers_mut().insert(header::CONTENT_TYPE, text);
@@ -51,9 +55,12 @@
 
 async fn listen(
     listener: TcpListener,
+    port: Arc<Port>,
+    journal: Arc<Journal>,
     answer: impl Fn(&Request<Incoming>) -> server::Answer + Clone + Send + Sync + 'static,
 ) {
-    server::serve(listener, HEAD_TIMEOUT, move |request| future::ready(answer(&request))).await;
+    let answer = move |request| future::ready(answer(&request));
+    server::serve(listener, port, journal, HEAD_TIMEOUT, answer).await;
 }
 
 /// Whether a host accepts new callers.
--- a/toucanhoist-edge/src/gateway.rs
+++ b/toucanhoist-edge/src/gateway.rs
@@ -23,8 +23,14 @@
 };
 
 use crate::{
-    clock::Clock, dialect::Dialect, fleet, journal::Journal, server, settings::Settings, steer,
-    target,
+    clock::Clock,
+    connections::{Port, Slot},
+    dialect::Dialect,
+    fleet,
+    journal::Journal,
+    server,
+    settings::Settings,
+    steer, target,
 };
 
 mod answer;
@@ -86,14 +92,16 @@
 }
 
 /// Serves callers until the host closes, and then until all connections have ended.
-pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+pub async fn serve(listener: TcpListener, port: Arc<Port>, shared: Arc<Shared>) {
     let mut phase = shared.phase.clone();
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    connections.spawn(connection(stream, Arc::clone(&shared)));
+                    if let Some(slot) = server::admit(&port, &shared.journal).await {
+                        connections.spawn(connection(stream, slot, Arc::clone(&shared)));
+                    }
                 }
                 Err(error) => {
                     shared.journal.note(Event::AcceptFailed, &[("error", &error)]);
@@ -108,14 +116,14 @@
     while connections.join_next().await.is_some() {}
 }
 
-async fn connection(stream: TcpStream, shared: Arc<Shared>) {
+async fn connection(stream: TcpStream, slot: Arc<Slot>, shared: Arc<Shared>) {
     if let Err(error) = socket::configure(&stream) {
         shared.journal.note(Event::AcceptFailed, &[("error", &error)]);
         return;
     }
     let limits = shared.limits();
     let mut phase = shared.phase.clone();
-    let pipeline = request::pipeline(&shared);
+    let pipeline = request::pipeline(&shared, &slot);
     let socket = Arc::new(stream);
     let stream = pipeline::Stream::new(Arc::clone(&socket), Arc::clone(&pipeline));
     let service = service_fn(|mut request| {
@@ -124,8 +132,12 @@
         if share.is_none() {
             request::shorten(&shared, &mut request);
         }
-        let (shared, pipeline) = (Arc::clone(&shared), Arc::clone(&pipeline));
-        async move { Ok::<_, Infallible>(request::handle(&shared, &pipeline, share, request).await) }
+        let (shared, pipeline, slot) =
+            (Arc::clone(&shared), Arc::clone(&pipeline), Arc::clone(&slot));
+        async move {
+            let answer = request::handle(&shared, &pipeline, &slot, share, request).await;
+            Ok::<_, Infallible>(answer)
+        }
     });
     let head_bytes = limits.header_bytes.saturating_add(HEAD_MARGIN_BYTES);
     let mut builder = http1::Builder::new();
@@ -141,6 +153,7 @@
         _ = connection.as_mut() => return,
         () = pipeline::caller_disconnected(&socket, &pipeline) => return,
         () = pipeline.head_overdue(limits.header_time + TIME_MARGIN) => return,
+        () = slot.closing() => return,
         () = pipeline.overdue().notified() => return reset(&socket),
         // Requests that have started are answered before the connection closes.
         () = closing(&mut phase, &pipeline) => {}
--- a/toucanhoist-edge/src/gateway/answer.rs
+++ b/toucanhoist-edge/src/gateway/answer.rs
@@ -15,7 +15,7 @@
     hyper::body::Incoming,
     serde::Serialize,
     tokio::{
-        sync::Notify,
+        sync::{Notify, OwnedSemaphorePermit},
         task::AbortHandle,
         time::{self, Instant},
     },
@@ -27,7 +27,9 @@
 };
 
 use super::{Shared, request::Admitted};
-use crate::{dialect::Dialect, headers::strip_hop_by_hop, held::Content, steer::Lease};
+use crate::{
+    connections::Busy, dialect::Dialect, headers::strip_hop_by_hop, held::Content, steer::Lease,
+};
 
 const MEDIA_TYPE: &str = "application/problem+json";
 
@@ -36,6 +38,8 @@
 pub(super) struct Body {
     first: Content,
     rest: Option<Box<Rest>>,
+    /// Marks the request as being handled until its answer has been sent.
+    busy: Option<Busy>,
 }
 
 impl Body {
@@ -43,6 +47,11 @@
         Body { first: content.into(), ..Body::default() }
     }
 
+    /// Keeps the mark of a request that is being handled until the body has been sent.
+    pub(super) fn keep_busy(&mut self, busy: Busy) {
+        self.busy = Some(busy);
+    }
+
     /// Notifies `overdue` when the deadline passes before the whole body has been sent. The body itself may not
     /// be polled by then, as a caller that reads nothing holds up the connection.
     pub(super) fn watch(&mut self, overdue: &Arc<Notify>) {
@@ -70,6 +79,8 @@
     id: Box<str>,
     /// Task that watches the deadline.
     watch: Option<AbortHandle>,
+    /// Permit of the exchange with the target.
+    _permit: Option<OwnedSemaphorePermit>,
 }
 
 impl Rest {
@@ -78,6 +89,7 @@
         request: &Admitted,
         body: Incoming,
         lease: Option<(Lease, Outcome)>,
+        permit: Option<OwnedSemaphorePermit>,
     ) -> Rest {
         Rest {
             body,
@@ -87,6 +99,7 @@
             shared: Arc::clone(shared),
             id: request.id.clone(),
             watch: None,
+            _permit: permit,
         }
     }
 
@@ -177,7 +190,8 @@
     rest: Option<Rest>,
     without_body: bool,
 ) -> Response<Body> {
-    let mut response = Response::new(Body { first, rest: rest.map(Box::new) });
+    let rest = rest.map(Box::new);
+    let mut response = Response::new(Body { first, rest, busy: None });
     *response.status_mut() = head.status;
     *response.headers_mut() = head.headers;
     let headers = response.headers_mut();
--- a/toucanhoist-edge/src/gateway/attempt.rs
+++ b/toucanhoist-edge/src/gateway/attempt.rs
@@ -191,6 +191,11 @@
             let detail = format!("no connection to target {} before the deadline", ticket.target);
             Next::Refuse(Refusal::not_run(Code::NoRoom, detail).retry_after(SHED_RETRY_AFTER))
         }
+        Err(error @ target::Error::Full) => {
+            lease.end(Outcome::Unsent);
+            let detail = error.to_string();
+            Next::Refuse(Refusal::not_run(Code::NoRoom, detail).retry_after(SHED_RETRY_AFTER))
+        }
         // Each attempt goes to another target, so there are few of them.
         Err(target::Error::Withdrawn) => {
             lease.end(Outcome::Unsent);
@@ -298,8 +303,8 @@
     answer: target::Answer,
     lease: Option<(Lease, Outcome)>,
 ) -> Response<Body> {
-    let target::Answer { head, first, rest, .. } = answer;
-    let rest = rest.map(|body| answer::Rest::new(shared, request, body, lease));
+    let target::Answer { head, first, rest, permit, .. } = answer;
+    let rest = rest.map(|body| answer::Rest::new(shared, request, body, lease, permit));
     answer::of_target(head, first, rest, is_without_body(&request.head.method))
 }
 
--- a/toucanhoist-edge/src/gateway/request.rs
+++ b/toucanhoist-edge/src/gateway/request.rs
@@ -24,7 +24,10 @@
     attempt,
     pipeline::Pipeline,
 };
-use crate::held::{Collector, Content};
+use crate::{
+    connections::Slot,
+    held::{Collector, Content},
+};
 
 /// Time-out of a request whose caller states none, on a route without one.
 const TIMEOUT_DEFAULT: Duration = Duration::from_secs(10);
@@ -92,8 +95,8 @@
 }
 
 /// Creates the pipeline of a connection, which starts repeatable requests early while the host serves.
-pub(super) fn pipeline(shared: &Arc<Shared>) -> Arc<Pipeline> {
-    let shared = Arc::clone(shared);
+pub(super) fn pipeline(shared: &Arc<Shared>, slot: &Arc<Slot>) -> Arc<Pipeline> {
+    let (shared, slot) = (Arc::clone(shared), Arc::clone(slot));
     Pipeline::new(move |head| {
         let routes = shared.fleet.routes()?;
         let is_repeatable = routes.route(host(head), head.uri.path())?.repeatable;
@@ -101,8 +104,10 @@
             return None;
         }
         let share = shared.memory.take(EARLY_BYTES)?;
-        let (shared, head) = (Arc::clone(&shared), head.clone());
-        Some(tokio::spawn(async move { respond(&shared, head, Some(Some(share)), None).await }))
+        let (shared, slot, head) = (Arc::clone(&shared), Arc::clone(&slot), head.clone());
+        Some(tokio::spawn(
+            async move { respond(&shared, &slot, head, Some(Some(share)), None).await },
+        ))
     })
 }
 
@@ -110,6 +115,7 @@
 pub(super) async fn handle(
     shared: &Arc<Shared>,
     pipeline: &Pipeline,
+    slot: &Arc<Slot>,
     head_share: HeadShare,
     request: Request<Incoming>,
 ) -> Response<Body> {
@@ -120,7 +126,7 @@
                 Refusal::may_have_run(Code::TargetFailed, "the task of the request failed");
             answer::of_refusal(&identifier(shared, &head.headers), &refusal, &shared.dialect)
         }),
-        None => respond(shared, head, head_share, Some(body)).await,
+        None => respond(shared, slot, head, head_share, Some(body)).await,
     };
     pipeline.finish();
     response.body_mut().watch(pipeline.overdue());
@@ -134,6 +140,7 @@
 /// Returns the answer to a request, which may be a refusal.
 async fn respond(
     shared: &Arc<Shared>,
+    slot: &Arc<Slot>,
     head: Parts,
     head_share: HeadShare,
     mut body: Option<Incoming>,
@@ -142,7 +149,7 @@
     let id = identifier(shared, &head.headers);
     let mut guard = AbandonGuard { shared, id: &id, arrived, is_armed: true };
     let is_discarded = !head.headers.contains_key(header::EXPECT);
-    let outcome = process(shared, &id, arrived, head, head_share, &mut body).await;
+    let outcome = process(shared, slot, &id, arrived, head, head_share, &mut body).await;
     guard.is_armed = false;
     if let Some(body) = body.filter(|body| is_discarded && !body.is_end_stream()) {
         tokio::spawn(discard(body, shared.limits().body_bytes));
@@ -189,6 +196,7 @@
 
 async fn process(
     shared: &Arc<Shared>,
+    slot: &Arc<Slot>,
     id: &str,
     arrived: Instant,
     head: Parts,
@@ -209,7 +217,14 @@
     }
     *body = None;
     admitted.fingerprint = fingerprint(&admitted);
-    attempt::run(shared, &admitted).await
+    // From here on, a target may have the request.
+    let busy = slot.begin().ok_or_else(|| {
+        Refusal::not_run(Code::NoRoom, "the connection is closed to make room for another")
+            .retry_after(MEMORY_RETRY_AFTER)
+    })?;
+    let mut response = attempt::run(shared, &admitted).await?;
+    response.body_mut().keep_busy(busy);
+    Ok(response)
 }
 
 fn memory_used_up() -> Refusal {
--- a/toucanhoist-edge/src/host.rs
+++ b/toucanhoist-edge/src/host.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     clock::{self, Clock},
+    connections::Port,
     dialect::Dialect,
     directory, fleet,
     gateway::{self, Phase, Shared},
@@ -87,12 +88,14 @@
         let started = clock::unix_ms();
         let (steer, steer_inputs) = steer::Handle::new();
         let dialect = Arc::new(dialect);
-        let memory = Budget::new(settings.machine.allotment().held);
+        let allotment = settings.machine.allotment();
+        let memory = Budget::new(allotment.held);
         let targets = target::Pool::new(
             Arc::clone(&dialect),
             settings.connect_from,
             steer.clone(),
             Arc::clone(&memory),
+            allotment.targets,
         );
         let (phase, phase_read) = watch::channel(Phase::Serving);
         let fleet = fleet::spawn(fleet::Parts {
@@ -115,8 +118,15 @@
         tokio::spawn(task.run(steer_inputs));
         tokio::spawn(receive(listeners.datagrams.clone(), fleet.clone(), steer.clone()));
         follow(&store, &settings, &fleet, started);
-        let tunnels = Tunnels::new(targets.clone(), steer.clone(), phase_read.clone());
-        tokio::spawn(peers::serve(listeners.peers, fleet.clone(), tunnels.clone()));
+        let tunnels =
+            Tunnels::new(targets.clone(), steer.clone(), phase_read.clone(), allotment.tunnels);
+        tokio::spawn(peers::serve(
+            listeners.peers,
+            Port::new("peers", allotment.peers),
+            Arc::clone(&journal),
+            fleet.clone(),
+            tunnels.clone(),
+        ));
         let shared = Arc::new(Shared {
             targets,
             memory,
@@ -128,10 +138,15 @@
             journal,
             phase: phase_read,
         });
-        tokio::spawn(directory::serve(listeners.directory, Arc::clone(&shared)));
-        tokio::spawn(directory::serve_readiness(listeners.readiness, Arc::clone(&shared)));
-        tokio::spawn(directory::serve_metrics(listeners.metrics));
-        let gateway = tokio::spawn(gateway::serve(listeners.callers, Arc::clone(&shared)));
+        let port = Port::new("directory", allotment.directory);
+        tokio::spawn(directory::serve(listeners.directory, port, Arc::clone(&shared)));
+        let port = Port::new("readiness", allotment.checks);
+        tokio::spawn(directory::serve_readiness(listeners.readiness, port, Arc::clone(&shared)));
+        let port = Port::new("metrics", allotment.checks);
+        let journal = Arc::clone(&shared.journal);
+        tokio::spawn(directory::serve_metrics(listeners.metrics, port, journal));
+        let port = Port::new("callers", allotment.callers);
+        let gateway = tokio::spawn(gateway::serve(listeners.callers, port, Arc::clone(&shared)));
         shared.journal.note(
             Event::Started,
             &[
--- a/toucanhoist-edge/src/lib.rs
+++ b/toucanhoist-edge/src/lib.rs
@@ -18,6 +18,7 @@
 */
 
 pub mod clock;
+pub mod connections;
 pub mod dialect;
 pub mod directory;
 pub mod fleet;
@@ -28,6 +29,7 @@
 pub mod journal;
 pub mod packing;
 pub mod peers;
+pub mod process;
 pub mod recorder;
 mod server;
 pub mod settings;
--- a/toucanhoist-edge/src/peers.rs
+++ b/toucanhoist-edge/src/peers.rs
@@ -31,7 +31,7 @@
     toucanhoist_wire::steering::{Packet, packet},
 };
 
-use crate::{fleet, packing, server};
+use crate::{connections::Port, fleet, journal::Journal, packing, server};
 
 mod backlog;
 pub mod tunnel;
@@ -168,11 +168,15 @@
 }
 
 /// Serves snapshots of the registry and tunnels to other hosts.
-pub async fn serve(listener: TcpListener, fleet: fleet::Handle, tunnels: Tunnels) {
-    server::serve(listener, HEAD_TIMEOUT, move |request| {
-        answer(fleet.clone(), tunnels.clone(), request)
-    })
-    .await;
+pub async fn serve(
+    listener: TcpListener,
+    port: Arc<Port>,
+    journal: Arc<Journal>,
+    fleet: fleet::Handle,
+    tunnels: Tunnels,
+) {
+    let answer = move |request| answer(fleet.clone(), tunnels.clone(), request);
+    server::serve(listener, port, journal, HEAD_TIMEOUT, answer).await;
 }
 
 async fn answer(
--- a/toucanhoist-edge/src/peers/tunnel.rs
+++ b/toucanhoist-edge/src/peers/tunnel.rs
@@ -35,8 +35,6 @@
     target::Pool,
 };
 
-/// Tunnels that a host carries at the same time; each holds two of its descriptors.
-pub const TUNNELS_MAX: usize = 256;
 /// Time-out for connecting to a host, or from there to the target; two of them fit into the time that an
 /// attempt may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(210);
@@ -86,17 +84,23 @@
     steer: steer::Handle,
     phase: watch::Receiver<Phase>,
     permits: Arc<Semaphore>,
+    max: usize,
 }
 
 impl Tunnels {
-    /// Creates the tunnels of a host; none is open.
-    pub fn new(pool: Pool, steer: steer::Handle, phase: watch::Receiver<Phase>) -> Tunnels {
-        Tunnels { pool, steer, phase, permits: Arc::new(Semaphore::new(TUNNELS_MAX)) }
+    /// Creates the tunnels of a host, of which at most `max` are open at the same time; none is yet.
+    pub fn new(
+        pool: Pool,
+        steer: steer::Handle,
+        phase: watch::Receiver<Phase>,
+        max: usize,
+    ) -> Tunnels {
+        Tunnels { pool, steer, phase, permits: Arc::new(Semaphore::new(max)), max }
     }
 
     /// Waits until all tunnels have ended.
     pub async fn ended(&self) {
-        let all = u32::try_from(TUNNELS_MAX).unwrap_or(u32::MAX);
+        let all = u32::try_from(self.max).unwrap_or(u32::MAX);
         // The semaphore is never closed.
         let _ = self.permits.acquire_many(all).await;
     }
--- a/toucanhoist-edge/src/server.rs
+++ b/toucanhoist-edge/src/server.rs
@@ -1,6 +1,6 @@
 //! HTTP server for short requests: the directory, the readiness check, metrics, and peers.
 
-use std::{convert::Infallible, future::Future, time::Duration};
+use std::{convert::Infallible, future::Future, pin::pin, sync::Arc, time::Duration};
 
 use {
     bytes::Bytes,
@@ -8,13 +8,25 @@
     http_body_util::Full,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    tokio::{net::TcpListener, time},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        time,
+    },
+    toucanhoist_core::event::Event,
     toucanhoist_store::socket,
 };
 
+use crate::{
+    connections::{Port, Slot},
+    journal::Journal,
+};
+
 /// Pause after a failed `accept`, usually for lack of file descriptors.
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Bytes of a request's head; those of callers stay below it by default.
+const HEAD_BYTES_MAX: usize = 20 * 1_024;
+
 /// An answer whose body is in memory.
 pub(crate) type Answer = Response<Full<Bytes>>;
 
@@ -25,9 +37,23 @@
     answer
 }
 
+/// Admits a new connection to a port, and logs when the port is full.
+pub(crate) async fn admit(port: &Arc<Port>, journal: &Journal) -> Option<Arc<Slot>> {
+    let slot = port.admit().await;
+    if let Some(report) = port.report() {
+        journal.note(
+            Event::PortFull,
+            &[("port", &port.name()), ("closed", &report.closed), ("refused", &report.refused)],
+        );
+    }
+    slot
+}
+
 /// Serves requests whose heads are complete within `head_timeout`, for as long as the process runs.
 pub(crate) async fn serve<F>(
     listener: TcpListener,
+    port: Arc<Port>,
+    journal: Arc<Journal>,
     head_timeout: Duration,
     answer: impl Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
 ) where
@@ -43,19 +69,41 @@
         if socket::configure(&stream).is_err() {
             continue;
         }
-        let answer = answer.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let answer = answer(request);
-                async move { Ok::<_, Infallible>(answer.await) }
-            });
-            // A failed connection needs no handling: its client tries again.
-            let _ = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(head_timeout)
-                .serve_connection(TokioIo::new(stream), service)
-                .with_upgrades()
-                .await;
-        });
+        if let Some(slot) = admit(&port, &journal).await {
+            tokio::spawn(connection(stream, slot, head_timeout, answer.clone()));
+        }
+    }
+}
+
+async fn connection<F>(
+    stream: TcpStream,
+    slot: Arc<Slot>,
+    head_timeout: Duration,
+    answer: impl Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+) where
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let service = service_fn(|request| {
+        let busy = slot.begin();
+        let answer = answer(request);
+        async move {
+            // The connection is closed already to make room for another.
+            let Some(_busy) = busy else {
+                return Ok(empty(StatusCode::SERVICE_UNAVAILABLE));
+            };
+            Ok::<_, Infallible>(answer.await)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(head_timeout)
+        .max_header_size(HEAD_BYTES_MAX)
+        .max_buf_size(HEAD_BYTES_MAX)
+        .serve_connection(TokioIo::new(stream), service)
+        .with_upgrades();
+    tokio::select! {
+        // A failed connection needs no handling: its client tries again.
+        _ = pin!(connection) => {}
+        () = slot.closing() => {}
     }
 }
--- a/toucanhoist-edge/src/settings.rs
+++ b/toucanhoist-edge/src/settings.rs
@@ -21,6 +21,8 @@
     },
 };
 
+use crate::process;
+
 const BYTES_PER_MB: f64 = 1e6;
 
 /// Settings of one entry host.
@@ -64,7 +66,8 @@
     pub link_mbps: f64,
     /// Memory, in MB; by default that of the smallest machine that hosts run on.
     pub memory_mb: f64,
-    /// Descriptors that the process may have open; by default those of the smallest machine.
+    /// Descriptors that the process may have open; by default those of the smallest machine. The system's limit for
+    /// the process holds if it is lower.
     pub descriptors: usize,
 }
 
@@ -81,7 +84,8 @@
     pub fn allotment(&self) -> Allotment {
         // The cast saturates.
         let memory = (self.memory_mb * BYTES_PER_MB) as usize;
-        machine::Machine { memory, descriptors: self.descriptors }.allotment()
+        let descriptors = self.descriptors.min(process::descriptors_max());
+        machine::Machine { memory, descriptors }.allotment()
     }
 
     /// Returns a score by which machines are compared for tasks that need both processor and link: a hundredth
--- a/toucanhoist-edge/src/target.rs
+++ b/toucanhoist-edge/src/target.rs
@@ -22,7 +22,10 @@
     http::{HeaderMap, HeaderName, Method, Request, StatusCode, header, response::Parts},
     http_body_util::BodyExt,
     hyper::{body::Incoming, client::conn::http1},
-    tokio::time::{self, Instant},
+    tokio::{
+        sync::{OwnedSemaphorePermit, Semaphore},
+        time::{self, Instant},
+    },
     toucanhoist_core::{
         id,
         memory::Budget,
@@ -82,6 +85,8 @@
     steer: steer::Handle,
     /// Memory for what targets send.
     memory: Arc<Budget>,
+    /// Permits of exchanges, each of which needs a connection; as many connections may be idle as are left.
+    exchanges: Arc<Semaphore>,
     state: Mutex<State>,
 }
 
@@ -105,6 +110,20 @@
 /// and a caller may send its identifier once more.
 type Refused = Vec<u64>;
 
+impl State {
+    /// Drops the connection that has been idle longest, if more than `max` are.
+    fn drop_surplus(&mut self, max: usize) {
+        if self.idle.values().map(Vec::len).sum::<usize>() <= max {
+            return;
+        }
+        // The first connection of each target has been idle longest there.
+        let oldest = self.idle.values_mut().filter(|idle| !idle.is_empty());
+        if let Some(idle) = oldest.min_by_key(|idle| idle[0].since) {
+            idle.remove(0);
+        }
+    }
+}
+
 impl Idle {
     /// Whether it may carry an exchange now.
     fn is_usable(&self, now: Instant, exchange: &Exchange<'_>) -> bool {
@@ -154,6 +173,8 @@
     pub connecting: Duration,
     /// The host through whose tunnel it came.
     pub via: Option<id::EntryHost>,
+    /// Permit of the exchange, which ends with the body.
+    pub permit: Option<OwnedSemaphorePermit>,
 }
 
 /// A request that got no answer.
@@ -162,6 +183,9 @@
     /// No connection could be made; nothing was sent.
     #[error("no connection to the target: {0}")]
     Unreachable(Cause),
+    /// All connections to targets that the host may have are in use; nothing was sent.
+    #[error("all connections to targets are in use")]
+    Full,
     /// The target left, or wants no requests for now, before the request could be sent; nothing was sent.
     #[error("the target takes no requests")]
     Withdrawn,
@@ -281,15 +305,23 @@
 
 impl Pool {
     /// Creates an empty pool, whose direct connections are made from `local` if it is given. `steer` decides
-    /// by which paths.
+    /// by which paths. At most `connections_max` are in use or idle.
     pub fn new(
         dialect: Arc<Dialect>,
         local: Option<IpAddr>,
         steer: steer::Handle,
         memory: Arc<Budget>,
+        connections_max: usize,
     ) -> Pool {
         let state = Mutex::default();
-        Pool { shared: Arc::new(Shared { dialect, local, steer, memory, state }) }
+        let exchanges = Arc::new(Semaphore::new(connections_max));
+        let shared = Shared { dialect, local, steer, memory, exchanges, state };
+        Pool { shared: Arc::new(shared) }
+    }
+
+    /// Returns how many connections may be idle beside the exchanges.
+    fn idle_max(&self) -> usize {
+        self.shared.exchanges.available_permits()
     }
 
     /// Runs a request on a target. `build` is called for each connection that is tried, as a kept one may
@@ -307,6 +339,8 @@
         let begun = Instant::now();
         let unsent =
             |error| Failure { error, is_kept: false, connecting: begun.elapsed(), via: None };
+        let permit = Arc::clone(&self.shared.exchanges).try_acquire_owned();
+        let mut permit = Some(permit.map_err(|_| unsent(Error::Full))?);
         loop {
             let connecting = self.connection(&endpoint, &exchange);
             let (connection, is_kept) = match time::timeout_at(exchange.deadline, connecting).await
@@ -322,7 +356,10 @@
             let via = connection.via.as_ref().map(|via| via.host.clone());
             let sending = self.send(&exchange, &endpoint, connection, build());
             let error = match time::timeout_at(exchange.deadline, sending).await {
-                Ok(Ok(Some(answer))) => return Ok(Answer { connecting, ..answer }),
+                Ok(Ok(Some(answer))) => {
+                    let permit = permit.take().filter(|_| answer.rest.is_some());
+                    return Ok(Answer { connecting, permit, ..answer });
+                }
                 // The connection closed before any of the request was sent.
                 Ok(Ok(None)) => continue,
                 Ok(Err(error)) => error,
@@ -383,6 +420,7 @@
             is_leaving,
             connecting: Duration::ZERO,
             via: host,
+            permit: None,
         }))
     }
 
@@ -434,6 +472,7 @@
     fn take_idle(&self, endpoint: &Endpoint, exchange: &Exchange<'_>) -> Option<Connected> {
         let now = Instant::now();
         let mut state = self.shared.state.lock().expect("no holder of the lock panics");
+        state.drop_surplus(self.idle_max());
         let idle = state.idle.get_mut(endpoint)?;
         idle.retain(|found| found.is_open(now));
         // The last one has been idle for the shortest time.
@@ -470,6 +509,7 @@
         let is_kept = !is_stray && idle.len() < IDLE_CONNECTIONS_MAX;
         if is_kept {
             idle.push(connection);
+            state.drop_surplus(self.idle_max());
         }
         is_kept
     }
