edge: bound the values of log lines

What callers saw: the process ran out of memory while clients sent requests with long identifiers and nobody read the log.

Cause: the queue of lines is bound in lines, and a line carries the identifier and the path as the caller sent them, up to 16 KB each.

Change: the log has the first 512 bytes of a value, and its queue holds 4,096 lines (8,192 before). What is sent to targets and callers stays whole.

Why it works: a line has few values, so the queue is bound in bytes too.

--- a/toucanhoist-edge/src/journal.rs
+++ b/toucanhoist-edge/src/journal.rs
@@ -30,7 +30,9 @@
 /// Lines of one event in a second, beyond which lines that are not exempt are only counted.
 pub const LINES_PER_SECOND: u32 = 200;
 /// Capacity of the queue of lines to be written.
-const QUEUE_LINES: usize = 8_192;
+const QUEUE_LINES: usize = 4_096;
+/// Bytes of a value, of which the rest is left out. Callers choose identifiers and paths.
+pub const VALUE_BYTES_MAX: usize = 512;
 /// Time between two writes.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -153,7 +155,17 @@
     }
 }
 
+/// Returns the beginning of a value, up to [`VALUE_BYTES_MAX`].
+pub fn shortened(value: &str) -> &str {
+    if value.len() <= VALUE_BYTES_MAX {
+        return value;
+    }
+    let end = (0..=VALUE_BYTES_MAX).rev().find(|index| value.is_char_boundary(*index));
+    &value[..end.unwrap_or_default()]
+}
+
 fn push_field(line: &mut String, name: &str, value: &str) {
+    let value = shortened(value);
     let is_plain = !value.bytes().any(|byte| byte < b' ' || matches!(byte, b'"' | b'\\'));
     let _ = match (is_plain, value.parse::<f64>()) {
         (true, Ok(number)) if number.is_finite() && is_json_number(value) => {
