serve: give each port a number of connections of its own

What callers saw: clients that only connect, to callers', operators' or peers' port, took all descriptors of the process, and the host had none left for targets, the platform and other hosts.

Cause: 16,384 connections were allowed on each HTTP port, whatever the process may have open, and any number on the port for hosts.

Change: the ports use those of `edge`: numbers that follow from `machine` in the settings (new, by default the smallest machine) and the system's limit for the process, and the connection that has waited longest is closed for a new one. On the port for hosts that is the one that has been quiet longest, as hosts send each other messages all the time. The handshake of TLS ends too when its connection is closed.

Why it works: the shares of all ports together leave some of the descriptors.

--- a/measure/src/configuration/hosts.rs
+++ b/measure/src/configuration/hosts.rs
@@ -24,7 +24,7 @@
             Host,
             fleet::{self, Outcome, Proposal},
         },
-        settings::{Advertise, Listen, Log, Platform, Settings},
+        settings::{Advertise, Listen, Log, Machine, Platform, Settings},
     },
     toucanhoist_core::{
         fleet::{Account, Fleet},
@@ -157,6 +157,7 @@
         tls: None,
         operator_token_sha256: Digest::of(b"token"),
         log: Log::default(),
+        machine: Machine::default(),
     }
 }
 
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     host::Host,
-    settings::{Advertise, Listen, Log, Settings},
+    settings::{Advertise, Listen, Log, Machine, Settings},
 };
 
 /// Distance from the port for callers to the port for operators.
@@ -209,6 +209,7 @@
         tls: None,
         operator_token_sha256: Digest::of(operator_token.as_bytes()),
         log: config.log,
+        machine: Machine::default(),
     })
 }
 
--- a/src/host/gateway.rs
+++ b/src/host/gateway.rs
@@ -21,12 +21,13 @@
         lookup::Table,
         refusal::{Code, Refusal, Verdict},
     },
+    toucanhoist_edge::connections::Port,
 };
 
 use super::{
     Context, Tasks, accounts, dispatch,
     exchange::{Answer, Head, Payload},
-    listener::{self, Limits},
+    listener::{self, Handling, Limits},
     submissions,
 };
 
@@ -68,7 +69,9 @@
         let journal = context.journal.clone();
         let tls = context.certificates().await?;
         let limits = Limits::default();
-        Ok(Server { listener: listener::Server::spawn(listener, router, journal, limits, tls) })
+        let port = Port::new("callers", context.settings.machine.allotment().callers);
+        let listener = listener::Server::spawn(listener, port, router, journal, limits, tls);
+        Ok(Server { listener })
     }
 
     /// Stops accepting, waits for running requests, and aborts them after `limit`.
@@ -177,6 +180,13 @@
             fingerprint: None,
         };
         let mut payload = self.payload(route, request, deadline).await?;
+        // From here on, a target may have the request.
+        if !request.extensions().get::<Handling>().is_none_or(Handling::begin) {
+            return Err(Refusal::not_run(
+                Code::NoRoom,
+                "the connection is closed to make room for another",
+            ));
+        }
         head.fingerprint = Some(dispatch::fingerprint(&head, &payload));
         let started = Instant::now();
         let mut answer = if route.repeatable {
--- a/src/host/listener.rs
+++ b/src/host/listener.rs
@@ -6,7 +6,12 @@
 like all others (see [`Rewriter`]).
 */
 
-use std::{future::Future, pin::pin, sync::Arc, time::Duration};
+use std::{
+    future::Future,
+    pin::pin,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use {
     http::{Request, Response, uri::Scheme},
@@ -24,6 +29,7 @@
     },
     tokio_util::{either::Either, sync::CancellationToken},
     toucanhoist_core::event::Event,
+    toucanhoist_edge::connections::{Busy, Port, Slot},
 };
 
 use self::rewriter::{InFlight, Rewriter};
@@ -34,7 +40,6 @@
 
 const HEAD_MAX_BYTES: usize = 32 * 1_024;
 const HEADERS_MAX: usize = 100;
-const CONNECTIONS_MAX: usize = 16_384;
 /// Pause after a failed `accept`.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -62,13 +67,14 @@
     /// Serves a router on a bound listener, over TLS if there is a certificate.
     pub(super) fn spawn(
         listener: TcpListener,
+        port: Arc<Port>,
         router: Router,
         journal: Arc<Journal>,
         limits: Limits,
         tls: Option<Certificates>,
     ) -> Server {
         let stop = CancellationToken::new();
-        let acceptor = Acceptor { service: Service::new(router), journal, limits, tls };
+        let acceptor = Acceptor { port, service: Service::new(router), journal, limits, tls };
         let task = tokio::spawn(acceptor.run(listener, stop.clone()));
         Server { stop, task }
     }
@@ -84,6 +90,7 @@
 }
 
 struct Acceptor {
+    port: Arc<Port>,
     service: Service,
     journal: Arc<Journal>,
     limits: Limits,
@@ -94,14 +101,15 @@
     async fn run(self, listener: TcpListener, stop: CancellationToken) {
         let mut connections = JoinSet::new();
         loop {
-            let full = connections.len() >= CONNECTIONS_MAX;
             tokio::select! {
                 biased;
                 () = stop.cancelled() => break,
                 Some(_) = connections.join_next() => {}
-                accepted = listener.accept(), if !full => match accepted {
+                accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => {
-                        connections.spawn(self.connection(stream, stop.clone()));
+                        if let Some(slot) = admit(&self.port, &self.journal).await {
+                            connections.spawn(self.connection(stream, slot, stop.clone()));
+                        }
                     }
                     Err(error) => {
                         self.journal.note(Event::AcceptFailed, &[("reason", &error)]);
@@ -117,6 +125,7 @@
     fn connection(
         &self,
         stream: TcpStream,
+        slot: Arc<Slot>,
         stop: CancellationToken,
     ) -> impl Future<Output = ()> + Send + 'static {
         let _ = stream.set_nodelay(true);
@@ -131,9 +140,11 @@
             None,
         );
         let service = service::service_fn({
-            let in_flight = in_flight.clone();
-            move |request: Request<Incoming>| {
-                let guard = in_flight.enter();
+            let (in_flight, slot) = (in_flight.clone(), Arc::clone(&slot));
+            move |mut request: Request<Incoming>| {
+                let handling = Handling::new(&slot);
+                let guard = in_flight.enter(handling.clone());
+                request.extensions_mut().insert(handling);
                 let answer = handler.call(request);
                 async move {
                     let answer: Response<ResBody> = answer.await?;
@@ -153,9 +164,12 @@
         async move {
             let stream = match tls {
                 None => Either::Left(stream),
-                Some(tls) => match time::timeout(head_timeout, tls.accept(stream)).await {
-                    Ok(Ok(stream)) => Either::Right(stream),
-                    Ok(Err(_)) | Err(_) => return,
+                Some(tls) => tokio::select! {
+                    accepted = time::timeout(head_timeout, tls.accept(stream)) => match accepted {
+                        Ok(Ok(stream)) => Either::Right(stream),
+                        Ok(Err(_)) | Err(_) => return,
+                    },
+                    () = slot.closing() => return,
                 },
             };
             let stream = Rewriter::new(stream, in_flight, Arc::clone(&journal));
@@ -163,6 +177,7 @@
             let mut connection = pin!(connection);
             let result = tokio::select! {
                 result = connection.as_mut() => result,
+                () = slot.closing() => return,
                 () = stop.cancelled() => {
                     connection.as_mut().graceful_shutdown();
                     connection.await
@@ -175,6 +190,44 @@
     }
 }
 
+/// Admits a new connection to a port, and logs when the port is full.
+pub(super) async fn admit(port: &Arc<Port>, journal: &Journal) -> Option<Arc<Slot>> {
+    let slot = port.admit().await;
+    if let Some(report) = port.report() {
+        journal.note(
+            Event::PortFull,
+            &[("port", &port.name()), ("closed", &report.closed), ("refused", &report.refused)],
+        );
+    }
+    slot
+}
+
+/// Whether a request is being handled, shared by its handler and the body of its answer.
+#[derive(Clone, Debug)]
+pub(super) struct Handling {
+    slot: Arc<Slot>,
+    busy: Arc<Mutex<Option<Busy>>>,
+}
+
+impl Handling {
+    fn new(slot: &Arc<Slot>) -> Handling {
+        Handling { slot: Arc::clone(slot), busy: Arc::default() }
+    }
+
+    /// Keeps the connection open until the answer has been sent; returns false if it is closed already to make room for
+    /// another.
+    pub(super) fn begin(&self) -> bool {
+        let busy = self.slot.begin();
+        let has_begun = busy.is_some();
+        *self.busy.lock().expect("no holder of the lock panics") = busy;
+        has_begun
+    }
+
+    fn end(&self) {
+        self.busy.lock().expect("no holder of the lock panics").take();
+    }
+}
+
 /// Logs a connection that ended before a complete request was received.
 fn log_end(journal: &Journal, error: &hyper::Error) {
     let event = if error.is_timeout() {
--- a/src/host/listener/rewriter.rs
+++ b/src/host/listener/rewriter.rs
@@ -22,6 +22,7 @@
     },
 };
 
+use super::Handling;
 use crate::{host::gateway::problem, journal::Journal};
 
 /// Counts the requests of a connection that are in flight.
@@ -37,9 +38,9 @@
 }
 
 impl InFlight {
-    pub(super) fn enter(&self) -> Guard {
+    pub(super) fn enter(&self, handling: Handling) -> Guard {
         self.0.begun.fetch_add(1, Ordering::Relaxed);
-        Guard(self.clone())
+        Guard { in_flight: self.clone(), handling }
     }
 
     /// Returns the number of requests so far, if none of them is in flight.
@@ -51,7 +52,10 @@
 
 /// Counts a request as in flight until dropped.
 #[derive(Debug)]
-pub(super) struct Guard(InFlight);
+pub(super) struct Guard {
+    in_flight: InFlight,
+    handling: Handling,
+}
 
 impl Guard {
     /// Attaches the guard to the body of the answer, so that both are dropped together.
@@ -62,7 +66,8 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.0.0.ended.fetch_add(1, Ordering::Relaxed);
+        self.in_flight.0.ended.fetch_add(1, Ordering::Relaxed);
+        self.handling.end();
     }
 }
 
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -23,13 +23,13 @@
         key::Digest,
         quarantine::Report,
     },
-    toucanhoist_edge::recorder,
+    toucanhoist_edge::{connections::Port, recorder},
 };
 
 use super::{
     Context, Tasks,
     fleet::{Outcome, Proposal},
-    listener::{self, Limits},
+    listener::{self, Handling, Limits},
 };
 
 mod submissions;
@@ -58,7 +58,9 @@
         let journal = context.journal.clone();
         let tls = context.certificates().await?;
         let limits = Limits::default();
-        Ok(Server { listener: listener::Server::spawn(listener, router, journal, limits, tls) })
+        let port = Port::new("operators", context.settings.machine.allotment().directory);
+        let listener = listener::Server::spawn(listener, port, router, journal, limits, tls);
+        Ok(Server { listener })
     }
 
     /// Stops accepting, waits for running requests, and aborts them after `limit`.
@@ -131,6 +133,8 @@
         response: &mut Response,
         _flow: &mut FlowCtrl,
     ) {
+        // A connection that is being closed gets its reply in vain.
+        request.extensions().get::<Handling>().map(Handling::begin);
         let reply = self.reply(request).await;
         response.status_code(reply.status);
         let (kind, content) = match reply.content {
--- a/src/host/peers.rs
+++ b/src/host/peers.rs
@@ -3,7 +3,7 @@
 //! Every part of a forwarded request and of its answer carries the id of the request and the number
 //! of the attempt. A part that does not match ends the exchange.
 
-use std::{collections::HashMap, io, net::SocketAddr, time::Duration};
+use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use {
     bytes::Bytes,
@@ -16,7 +16,6 @@
         task::JoinHandle,
         time::{self, Instant},
     },
-    tokio_stream::wrappers::TcpListenerStream,
     tokio_util::sync::CancellationToken,
     tonic::{
         Request, Response, Status, Streaming,
@@ -28,6 +27,7 @@
         quarantine::Fingerprint,
         refusal::{Code, Refusal},
     },
+    toucanhoist_edge::connections::Port,
     toucanhoist_wire::{
         forward::{
             AnswerHead, AnswerPart, End, Go, Header, Ready, RequestHead, RequestPart, answer_part,
@@ -47,6 +47,7 @@
 
 mod auth;
 mod configuration;
+mod incoming;
 mod membership;
 pub mod quota;
 mod room;
@@ -363,7 +364,8 @@
             .add_service(quota)
             .add_service(ForwardServer::new(service));
         let stopped = stop.clone().cancelled_owned();
-        let incoming = TcpListenerStream::new(listener);
+        let port = Port::new("peers", context.settings.machine.allotment().targets);
+        let incoming = incoming::connections(listener, port, Arc::clone(&context.journal));
         let task = tokio::spawn(async move {
             if let Err(error) = router.serve_with_incoming_shutdown(incoming, stopped).await {
                 log::error!(target: "toucanhoist", "the peers' listener failed: {error}");
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -15,9 +15,17 @@
 use {
     schemars::JsonSchema,
     serde::{Deserialize, Serialize},
-    toucanhoist_core::{Error, Fault, fleet, id, key::Digest, unit::Span},
+    toucanhoist_core::{
+        Error, Fault, fleet, id,
+        key::Digest,
+        machine::{self, Allotment},
+        unit::Span,
+    },
+    toucanhoist_edge::process,
 };
 
+const BYTES_PER_MB: usize = 1_000_000;
+
 /// Settings of one entry host.
 #[derive(Clone, Debug, Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -47,6 +55,40 @@
     /// Logs.
     #[serde(default)]
     pub log: Log,
+    /// Resources of the machine.
+    #[serde(default)]
+    pub machine: Machine,
+}
+
+/// Resources of the machine that the process may use. By default they are those of the smallest machine that hosts run on.
+#[derive(Clone, Copy, Debug, Deserialize, JsonSchema, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Machine {
+    /// Memory, in MB.
+    pub memory_mb: u32,
+    /// Descriptors; the system's limit for the process holds if it is lower.
+    pub descriptors: u32,
+}
+
+impl Default for Machine {
+    fn default() -> Machine {
+        let machine::Machine { memory, descriptors } = machine::Machine::default();
+        Machine { memory_mb: saturated(memory / BYTES_PER_MB), descriptors: saturated(descriptors) }
+    }
+}
+
+impl Machine {
+    /// Returns what each use of the machine gets.
+    pub fn allotment(self) -> Allotment {
+        let size = |number| usize::try_from(number).unwrap_or(usize::MAX);
+        let memory = size(self.memory_mb).saturating_mul(BYTES_PER_MB);
+        let descriptors = size(self.descriptors).min(process::descriptors_max());
+        machine::Machine { memory, descriptors }.allotment()
+    }
+}
+
+fn saturated(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
 }
 
 /// PEM files of a certificate. They are reloaded when they change.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use {
     toucanhoist::{
         host::Host,
-        settings::{Advertise, Listen, Log, Platform, Settings},
+        settings::{Advertise, Listen, Log, Machine, Platform, Settings},
     },
     toucanhoist_core::{key::Digest, unit::Span},
     toucanhoist_fakes::platform::Faulty,
@@ -28,6 +28,7 @@
         tls: None,
         operator_token_sha256: Digest::of(b"token"),
         log: Log::default(),
+        machine: Machine::default(),
     }
 }
 
