serve: hold the bodies of requests within a budget

What callers saw: the process outgrew the smallest machine while clients sent submissions within the limit of 1 MB, each alone.

Cause: each body is buffered, and nothing bound all of them together.

Change: bodies come out of a budget like that of `edge`. When it is used up, a body is refused at once as not run, with a time to come back. A connection whose body has not arrived whole still waits, and may be closed for a new one.

Why it works: what a host holds of bodies no longer follows their number.

--- a/src/host.rs
+++ b/src/host.rs
@@ -16,7 +16,7 @@
 
 use {
     tokio::{sync::watch, time},
-    toucanhoist_core::{event::Event, membership::Incarnation},
+    toucanhoist_core::{event::Event, membership::Incarnation, memory::Budget},
     toucanhoist_edge::clock::unix_ms,
     toucanhoist_store::{Platform, socket},
 };
@@ -61,6 +61,8 @@
     pub incarnation: Incarnation,
     /// Whether the host is shutting down.
     pub leaving: watch::Receiver<bool>,
+    /// Memory for what callers send.
+    pub memory: Arc<Budget>,
 }
 
 impl Context {
@@ -128,7 +130,9 @@
             peers: peers.local_addr()?,
         };
         let (leave, leaving) = watch::channel(false);
+        let memory = Budget::new(settings.machine.allotment().held);
         let context = Context {
+            memory,
             journal: Arc::new(Journal::spawn(settings.name.clone(), settings.log.format)),
             settings: Arc::new(settings),
             platform,
--- a/src/host/gateway.rs
+++ b/src/host/gateway.rs
@@ -3,7 +3,7 @@
 use std::{io, sync::Arc, time::Duration};
 
 use {
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     http::{HeaderValue, Method, StatusCode, header},
     http_body::Body as _,
     http_body_util::BodyExt,
@@ -19,9 +19,10 @@
         fleet::Access,
         id,
         lookup::Table,
+        memory::Budget,
         refusal::{Code, Refusal, Verdict},
     },
-    toucanhoist_edge::connections::Port,
+    toucanhoist_edge::{connections::Port, held::Collector},
 };
 
 use super::{
@@ -44,6 +45,8 @@
 const BUFFERED_MAX_BYTES: usize = 64 * 1_024;
 /// Largest body of a submission.
 const SUBMISSION_MAX_BYTES: usize = 1_024 * 1_024;
+/// `Retry-After` of a host whose memory for requests is used up.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Logged in place of a path that contains a key.
 const WITHHELD: &str = "(withheld)";
 
@@ -297,7 +300,7 @@
             let stream = body.map_err(std::io::Error::other).boxed_unsync();
             return Ok(Payload::Stream(Some(stream)));
         }
-        match time::timeout_at(deadline, collect(body, limit)).await {
+        match time::timeout_at(deadline, collect(body, limit, &self.context.memory)).await {
             Ok(content) => Ok(Payload::Buffered(content?)),
             Err(_) => Err(Refusal::not_run(Code::DeadlineExceeded, "the body took too long")),
         }
@@ -412,16 +415,20 @@
     request.uri().path_and_query().map_or("/", |path| path.as_str()).into()
 }
 
-async fn collect(mut body: ReqBody, limit: usize) -> Result<Bytes, Refusal> {
-    let mut content = BytesMut::new();
+async fn collect(mut body: ReqBody, limit: usize, memory: &Arc<Budget>) -> Result<Bytes, Refusal> {
+    let used_up = |_| {
+        Refusal::not_run(Code::NoRoom, "the memory for requests is used up")
+            .retry_after(MEMORY_RETRY_AFTER)
+    };
+    let mut content = Collector::new(memory, 0);
     while let Some(frame) = body.frame().await {
         let frame =
             frame.map_err(|error| bad_request(format!("failed to read the body: {error}")))?;
         let Ok(chunk) = frame.into_data() else { continue };
-        if content.len() + chunk.len() > limit {
+        if content.length() + chunk.len() > limit {
             return Err(too_large(limit));
         }
-        content.extend_from_slice(&chunk);
+        content.push(&chunk).map_err(used_up)?;
     }
-    Ok(content.freeze())
+    content.finish().into_bytes(memory).map_err(used_up)
 }
