serve: bound the values of log lines

What callers saw: the process outgrew the smallest machine while clients sent refused requests with long paths.

Cause: the log keeps the last 8,192 decisions for `explain`, each with the path and the reason as they came, up to 32 KB each.

Change: a decision keeps the first 512 bytes of each value, as `edge` does, and the queue before it holds 8,192 entries (65,536 before).

Why it works: the ring and the queue are bound in bytes too.

--- a/src/journal.rs
+++ b/src/journal.rs
@@ -30,12 +30,13 @@
         event::{Event, Severity},
         id,
     },
+    toucanhoist_edge::journal::shortened,
 };
 
 use crate::settings::{Format, Level, Log};
 
 const RING_ENTRIES: usize = 8_192;
-const QUEUE_ENTRIES: usize = 65_536;
+const QUEUE_ENTRIES: usize = 8_192;
 /// Names of the columns of a line, which no field may have.
 const RESERVED_NAMES: [&str; 5] = ["time_ms", "event", "name", "host", "request"];
 /// Time for which entries are collected before they are written.
@@ -168,7 +169,8 @@
         );
         metrics::counter!("toucanhoist_events_total", "event" => event.as_str()).increment(1);
         let since_epoch = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
-        let fields = fields.iter().map(|&(name, value)| (name, value.to_string().into()));
+        let fields =
+            fields.iter().map(|&(name, value)| (name, shortened(&value.to_string()).into()));
         let entry = Entry {
             request,
             time_ms: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
