An answer whose status is none ends an exchange as broken

What callers saw: an answer with a status of 600 or more, or a 101 that nobody had asked for, was passed on to them as an answer, on both hosts.

Cause: the HTTP library refuses 000 to 099 and letters, and passes over interim answers, but returns every number from 200 to 999 and 101 as an answer. Nothing looked at the number.

Change: one function says whether a status ends an exchange, 200 to 599. An answer with another one counts as bytes that are no answer: the connection ends, nothing that it states is recorded, and the request may have run. `serve` asks it of targets and of other hosts, and no longer replays a stored answer without a valid status as 200.

Why it works: the check comes before anything in the answer is read.

--- a/src/host/peers.rs
+++ b/src/host/peers.rs
@@ -27,7 +27,7 @@
         quarantine::Fingerprint,
         refusal::{Code, Refusal},
     },
-    toucanhoist_edge::connections::Port,
+    toucanhoist_edge::{connections::Port, status},
     toucanhoist_wire::{
         forward::{
             AnswerHead, AnswerPart, End, Go, Header, Ready, RequestHead, RequestPart, answer_part,
@@ -302,6 +302,7 @@
             status: u16::try_from(head.status)
                 .ok()
                 .and_then(|status| StatusCode::from_u16(status).ok())
+                .filter(|status| status::is_final(*status))
                 .ok_or_else(|| failed("the answer has an invalid status"))?,
             headers: header_map(&head.headers),
             body: exchange::stream(chunks(attempt_id, parts)),
--- a/src/host/submissions/answers.rs
+++ b/src/host/submissions/answers.rs
@@ -13,6 +13,7 @@
         refusal::{Code, Refusal, Verdict},
         submission::{Content, Header, StoredAnswer},
     },
+    toucanhoist_edge::status,
     toucanhoist_store::Platform,
 };
 
@@ -130,8 +131,10 @@
             }
         },
     };
+    let status = StatusCode::from_u16(stored.status).ok().filter(|code| status::is_final(*code));
     Ok(Answer {
-        status: StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK),
+        status: status
+            .ok_or_else(|| ran(Code::AnswerNotKept, "it ran, its status was not kept"))?,
         headers: header_map(&stored.headers),
         body: exchange::full(content),
         target: stored.target,
--- a/src/host/target.rs
+++ b/src/host/target.rs
@@ -23,6 +23,7 @@
         time::{self, Instant},
     },
     toucanhoist_core::refusal::{Code, Refusal},
+    toucanhoist_edge::status,
 };
 
 use self::gate::{Gate, Gated};
@@ -123,6 +124,9 @@
                 ));
             }
         };
+        if !status::is_final(response.status()) {
+            return Err(failed(format!("status {} ends no exchange", response.status().as_u16())));
+        }
         let checkout =
             Checkout { address, connection: Some(connection), put_back: self.put_back.clone() };
         Ok(answer(target, response, checkout))
--- a/tests/edge/answers.rs
+++ b/tests/edge/answers.rs
@@ -33,6 +33,13 @@
 #[case::nonsense(b"NONSENSE\r\n\r\n")]
 #[case::half_a_head(b"HTTP/1.1 200 OK\r\ncontent-le")]
 #[case::unframed(b"HTTP/1.1 200 OK\r\n\r\nperhaps whole")]
+#[case::status_0(b"HTTP/1.1 000 Trouble\r\ncontent-length: 0\r\n\r\n")]
+#[case::status_99(b"HTTP/1.1 099 Trouble\r\ncontent-length: 0\r\n\r\n")]
+#[case::status_600(b"HTTP/1.1 600 Trouble\r\ncontent-length: 0\r\n\r\n")]
+#[case::status_999(b"HTTP/1.1 999 Trouble\r\ncontent-length: 5\r\n\r\nhello")]
+#[case::status_of_letters(b"HTTP/1.1 abc Trouble\r\ncontent-length: 0\r\n\r\n")]
+#[case::continue_as_final(b"HTTP/1.1 100 Continue\r\ncontent-length: 0\r\n\r\n")]
+#[case::switching_protocols(b"HTTP/1.1 101 Switching Protocols\r\nupgrade: a\r\n\r\n")]
 #[tokio::test]
 async fn a_missing_or_invalid_answer_gets_a_refusal(
     #[case] answer: &'static [u8],
--- a/toucanhoist-edge/src/lib.rs
+++ b/toucanhoist-edge/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod recorder;
 mod server;
 pub mod settings;
+pub mod status;
 pub mod steer;
 pub mod store;
 pub mod target;
--- a/toucanhoist-edge/src/target.rs
+++ b/toucanhoist-edge/src/target.rs
@@ -39,6 +39,7 @@
     clock::Clock,
     dialect::Dialect,
     held::{Collector, Content},
+    status,
     steer::{self, Input, Step},
 };
 
@@ -385,6 +386,10 @@
             Err(error) => return Err(Error::Broken(error.into_error().into())),
         };
         let (head, body) = answer.into_parts();
+        // Nothing in such an answer counts, so it comes before what the target states.
+        if !status::is_final(head.status) {
+            return Err(Error::Broken(Cause::Other));
+        }
         let dialect = &self.shared.dialect;
         let is_leaving = self.record_statements(exchange, &head, via.as_ref());
         if head.headers.get(&dialect.request_id).is_some_and(|id| id != exchange.request_id) {
--- a/toucanhoist-edge/tests/edge.rs
+++ b/toucanhoist-edge/tests/edge.rs
@@ -30,6 +30,8 @@
 mod odd_entries;
 #[path = "edge/restore.rs"]
 mod restore;
+#[path = "edge/status.rs"]
+mod status_line;
 #[path = "edge/streamed.rs"]
 mod streamed;
 mod support;
--- a/toucanhoist-edge/tests/support/mod.rs
+++ b/toucanhoist-edge/tests/support/mod.rs
@@ -220,6 +220,8 @@
     Head { bytes: usize, resets: bool },
     /// Answers 503 without running the request, with the value as `Retry-After`.
     Busy(&'static str),
+    /// Answers with this status line, states that the request did not run, and closes the connection.
+    Status(&'static str),
     /// Answers, and names a limit that allows the next request after many seconds.
     Limit,
 }
@@ -315,6 +317,7 @@
                 let after = format!("toucanhoist-not-run: 1\r\nretry-after: {after}\r\n");
                 answer("503 Service Unavailable", &id, &after, "")
             }
+            Behaviour::Status(status) => answer(status, &id, "toucanhoist-not-run: 1\r\n", path),
             Behaviour::Unavailable => answer("503 Service Unavailable", &id, "", ""),
             Behaviour::Fail => answer("500 Internal Server Error", &id, "", "own failure"),
             Behaviour::Break => return,
@@ -324,7 +327,8 @@
             Behaviour::Truncate => complete[..complete.len() - 2].to_owned(),
             Behaviour::Misdirect => answer("421 Misdirected Request", &id, "", ""),
         };
-        if stream.write_all(text.as_bytes()).await.is_err() || behaviour == Behaviour::Truncate {
+        let is_last = matches!(behaviour, Behaviour::Truncate | Behaviour::Status(_));
+        if stream.write_all(text.as_bytes()).await.is_err() || is_last {
             return;
         }
         if let Behaviour::Head { resets, .. } = behaviour {
