A port logs itself when it is full

Cause: the lines that admit a connection and log a full port stood twice, once for each host's log.

Change: `Port::admit` takes what logs.

--- a/src/host/listener.rs
+++ b/src/host/listener.rs
@@ -34,7 +34,7 @@
 
 use self::rewriter::{InFlight, Rewriter};
 use super::tls::Certificates;
-use crate::journal::Journal;
+use crate::journal::{Field, Journal};
 
 mod rewriter;
 
@@ -107,7 +107,8 @@
                 Some(_) = connections.join_next() => {}
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => {
-                        if let Some(slot) = admit(&self.port, &self.journal).await {
+                        let note = |event, fields: &[Field<'_>]| self.journal.note(event, fields);
+                        if let Some(slot) = self.port.admit(note).await {
                             connections.spawn(self.connection(stream, slot, stop.clone()));
                         }
                     }
@@ -190,18 +191,6 @@
     }
 }
 
-/// Admits a new connection to a port, and logs when the port is full.
-pub(super) async fn admit(port: &Arc<Port>, journal: &Journal) -> Option<Arc<Slot>> {
-    let slot = port.admit().await;
-    if let Some(report) = port.report() {
-        journal.note(
-            Event::PortFull,
-            &[("port", &port.name()), ("closed", &report.closed), ("refused", &report.refused)],
-        );
-    }
-    slot
-}
-
 /// Whether a request is being handled, shared by its handler and the body of its answer.
 #[derive(Clone, Debug)]
 pub(super) struct Handling {
--- a/src/host/peers/incoming.rs
+++ b/src/host/peers/incoming.rs
@@ -22,7 +22,7 @@
     toucanhoist_edge::connections::{Port, Slot},
 };
 
-use crate::{host::listener, journal::Journal};
+use crate::journal::Journal;
 
 /// Returns the connections that a port admits.
 pub(super) fn connections(
@@ -36,7 +36,8 @@
                 Ok((stream, _)) => stream,
                 Err(error) => return Some((Err(error), (listener, port, journal))),
             };
-            if let Some(slot) = listener::admit(&port, &journal).await {
+            let slot = port.admit(|event, fields| journal.note(event, fields)).await;
+            if let Some(slot) = slot {
                 return Some((Ok(Connection::new(stream, slot)), (listener, port, journal)));
             }
         }
--- a/toucanhoist-edge/src/connections.rs
+++ b/toucanhoist-edge/src/connections.rs
@@ -15,9 +15,14 @@
         sync::{Notify, OwnedSemaphorePermit, Semaphore, futures::OwnedNotified},
         time::Instant,
     },
-    toucanhoist_core::connections::{Place, Waiting},
+    toucanhoist_core::{
+        connections::{Place, Waiting},
+        event::Event,
+    },
 };
 
+use crate::journal::Field;
+
 /// Time between two reports of a full port.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -32,11 +37,11 @@
 
 /// What a full port did to connections since the last report.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Report {
+struct Report {
     /// Waiting connections that were closed.
-    pub closed: u64,
+    closed: u64,
     /// New connections that were refused.
-    pub refused: u64,
+    refused: u64,
     last: Option<Instant>,
 }
 
@@ -47,13 +52,22 @@
         Arc::new(Port { name, permits: Arc::new(Semaphore::new(max)), waiting, report })
     }
 
-    /// Returns the name of the port.
-    pub fn name(&self) -> &'static str {
-        self.name
+    /// Admits a new connection; `None` if the port is full and no connection waits. `note` logs what a full port does,
+    /// once in a while.
+    pub async fn admit(
+        self: &Arc<Port>,
+        note: impl FnOnce(Event, &[Field<'_>]),
+    ) -> Option<Arc<Slot>> {
+        let slot = self.take_slot().await;
+        if let Some(Report { closed, refused, .. }) = self.report() {
+            let fields: [Field<'_>; 3] =
+                [("port", &self.name), ("closed", &closed), ("refused", &refused)];
+            note(Event::PortFull, &fields);
+        }
+        slot
     }
 
-    /// Admits a new connection; `None` if the port is full and no connection waits.
-    pub async fn admit(self: &Arc<Port>) -> Option<Arc<Slot>> {
+    async fn take_slot(self: &Arc<Port>) -> Option<Arc<Slot>> {
         let permits = Arc::clone(&self.permits);
         let permit = match Arc::clone(&permits).try_acquire_owned() {
             Ok(permit) => permit,
@@ -75,16 +89,14 @@
 
     /// Returns what the port did when it was full, if there is something to report and the last report was a
     /// while ago.
-    pub fn report(&self) -> Option<Report> {
+    fn report(&self) -> Option<Report> {
         let mut report = self.report.lock().expect("no holder of the lock panics");
         let is_due = report.last.is_none_or(|last| last.elapsed() >= REPORT_INTERVAL);
         if report.closed + report.refused == 0 || !is_due {
             return None;
         }
-        Some(std::mem::replace(
-            &mut *report,
-            Report { last: Some(Instant::now()), ..Report::default() },
-        ))
+        let last = Some(Instant::now());
+        Some(std::mem::replace(&mut *report, Report { last, ..Report::default() }))
     }
 
     fn count(&self, outcome: &'static str, add: impl Fn(&mut Report)) {
--- a/toucanhoist-edge/src/gateway.rs
+++ b/toucanhoist-edge/src/gateway.rs
@@ -99,7 +99,9 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    if let Some(slot) = server::admit(&port, &shared.journal).await {
+                    let journal = &shared.journal;
+                    let slot = port.admit(|event, fields| journal.note(event, fields)).await;
+                    if let Some(slot) = slot {
                         connections.spawn(connection(stream, slot, Arc::clone(&shared)));
                     }
                 }
--- a/toucanhoist-edge/src/server.rs
+++ b/toucanhoist-edge/src/server.rs
@@ -12,7 +12,6 @@
         net::{TcpListener, TcpStream},
         time,
     },
-    toucanhoist_core::event::Event,
     toucanhoist_store::socket,
 };
 
@@ -37,18 +36,6 @@
     answer
 }
 
-/// Admits a new connection to a port, and logs when the port is full.
-pub(crate) async fn admit(port: &Arc<Port>, journal: &Journal) -> Option<Arc<Slot>> {
-    let slot = port.admit().await;
-    if let Some(report) = port.report() {
-        journal.note(
-            Event::PortFull,
-            &[("port", &port.name()), ("closed", &report.closed), ("refused", &report.refused)],
-        );
-    }
-    slot
-}
-
 /// Serves requests whose heads are complete within `head_timeout`, for as long as the process runs.
 pub(crate) async fn serve<F>(
     listener: TcpListener,
@@ -69,7 +56,8 @@
         if socket::configure(&stream).is_err() {
             continue;
         }
-        if let Some(slot) = admit(&port, &journal).await {
+        let slot = port.admit(|event, fields| journal.note(event, fields)).await;
+        if let Some(slot) = slot {
             tokio::spawn(connection(stream, slot, head_timeout, answer.clone()));
         }
     }
