Two tests of misbehaving targets share their set-up

Cause: the test of answers without a status repeated how the test of requests that must not run twice has one of two targets misbehave.

--- a/toucanhoist-edge/tests/edge.rs
+++ b/toucanhoist-edge/tests/edge.rs
@@ -116,28 +116,9 @@
     for (path, expected, sends) in
         [("/safe/a", safe_status, safe_sends), ("/once/a", once_status, once_sends)]
     {
-        let targets = [
-            FakeTarget::spawn(Behaviour::Answer).await,
-            FakeTarget::spawn(Behaviour::Answer).await,
-        ];
-        let (edge, _store) = site(&[("t1", &targets[0]), ("t2", &targets[1])]).await;
-        // Requests for one object go to the same target, which is the one that misbehaves.
-        let text = request("GET", path, "r-1", Some(KEY), "")
-            .replace("\r\n\r\n", "\r\ncookie: toucanhoist-object=1\r\n\r\n");
-        let before = targets.each_ref().map(FakeTarget::request_count);
-        assert_eq!(send(edge.addresses().callers, &text).await.0, 200);
-        let first = usize::from(targets[0].request_count() == before[0]);
-        targets[first].set_behaviour(behaviour);
-        let before = targets.each_ref().map(FakeTarget::request_count);
-        let text = text.replace("r-1", "r-2");
-        let (status, head, body) = send(edge.addresses().callers, &text).await;
+        let ((status, head, body), sent) = support::send_to_faulty(behaviour, path).await;
         assert_eq!(status, expected, "{path}: {head}{body}");
         assert_ne!(body, "not yours");
-        let sent: usize = targets
-            .iter()
-            .zip(before)
-            .map(|(target, before)| target.request_count() - before)
-            .sum();
         assert_eq!(sent, sends, "{path} was sent {sent} times");
     }
 }
--- a/toucanhoist-edge/tests/edge/status.rs
+++ b/toucanhoist-edge/tests/edge/status.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 
-use super::support::{Behaviour, FakeTarget, KEY, request, send, site};
+use super::support::{Behaviour, send_to_faulty};
 
 /// An answer without a status that ends an exchange never reaches the caller, and nothing that it states counts: the
 /// request may have run.
@@ -21,28 +21,9 @@
 #[tokio::test]
 async fn an_answer_without_a_status_counts_as_none(#[case] status: &'static str) {
     for (path, expected, sends) in [("/safe/a", 200, 2), ("/once/a", 502, 1)] {
-        let targets = [
-            FakeTarget::spawn(Behaviour::Answer).await,
-            FakeTarget::spawn(Behaviour::Answer).await,
-        ];
-        let (edge, _store) = site(&[("t1", &targets[0]), ("t2", &targets[1])]).await;
-        // Requests for one object go to the same target.
-        let text = request("GET", path, "r-1", Some(KEY), "")
-            .replace("\r\n\r\n", "\r\ncookie: toucanhoist-object=1\r\n\r\n");
-        let before = targets.each_ref().map(FakeTarget::request_count);
-        assert_eq!(send(edge.addresses().callers, &text).await.0, 200);
-        let first = usize::from(targets[0].request_count() == before[0]);
-        targets[first].set_behaviour(Behaviour::Status(status));
-        let before = targets.each_ref().map(FakeTarget::request_count);
-        let (answered, head, body) =
-            send(edge.addresses().callers, &text.replace("r-1", "r-2")).await;
+        let ((answered, head, body), sent) = send_to_faulty(Behaviour::Status(status), path).await;
         assert_eq!(answered, expected, "{path}: {head}{body}");
         assert_eq!(body.contains("may-have-run"), expected == 502, "{body}");
-        let sent: usize = targets
-            .iter()
-            .zip(before)
-            .map(|(target, before)| target.request_count() - before)
-            .sum();
         assert_eq!(sent, sends, "{path} was sent {sent} times");
     }
 }
--- a/toucanhoist-edge/tests/support/mod.rs
+++ b/toucanhoist-edge/tests/support/mod.rs
@@ -531,3 +531,22 @@
 pub async fn get(address: SocketAddr, path: &str, id: &str) -> (u16, String, String) {
     send(address, &request("GET", path, id, Some(KEY), "")).await
 }
+
+/// Sends a request on a path to a target that misbehaves, beside one that does not; returns status, head and body of the
+/// answer, and how often the request was sent to either.
+pub async fn send_to_faulty(behaviour: Behaviour, path: &str) -> ((u16, String, String), usize) {
+    let targets =
+        [FakeTarget::spawn(Behaviour::Answer).await, FakeTarget::spawn(Behaviour::Answer).await];
+    let (edge, _store) = site(&[("t1", &targets[0]), ("t2", &targets[1])]).await;
+    // Requests for one object go to the same target, which is the one that misbehaves.
+    let text = request("GET", path, "r-1", Some(KEY), "")
+        .replace("\r\n\r\n", "\r\ncookie: toucanhoist-object=1\r\n\r\n");
+    let before = targets.each_ref().map(FakeTarget::request_count);
+    assert_eq!(send(edge.addresses().callers, &text).await.0, 200);
+    let first = usize::from(targets[0].request_count() == before[0]);
+    targets[first].set_behaviour(behaviour);
+    let before = targets.each_ref().map(FakeTarget::request_count);
+    let answer = send(edge.addresses().callers, &text.replace("r-1", "r-2")).await;
+    let counts = targets.iter().zip(before).map(|(target, before)| target.request_count() - before);
+    (answer, counts.sum())
+}
