A test of an unreachable target keeps the port that nobody listens on

Cause: the test closed the listener whose port it took for unused. Another test of the same process got the port for its target, which received this test's request, counted it and closed the connection. Both failures are that request. Read from the two counts; the addresses are not in the log.

Change: the port stays bound to a socket that does not listen, so connections are refused and no one else gets it. The check is unchanged.

--- a/toucanhoist-edge/tests/edge.rs
+++ b/toucanhoist-edge/tests/edge.rs
@@ -170,9 +170,10 @@
 async fn a_request_to_an_unreachable_target_is_refused_as_not_run() {
     let target = FakeTarget::spawn(Behaviour::Answer).await;
     let (edge, store) = site(&[("t1", &target)]).await;
-    let unused = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    // Bound and not listening: connections are refused, and no other test gets the port.
+    let unused = tokio::net::TcpSocket::new_v4().expect("a socket");
+    unused.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
     let address = unused.local_addr().expect("an address");
-    drop(unused);
     let mut unreachable = entry(address);
     unreachable.born = 2;
     store.put(Key::Target(name("t1")), Some(Value::Target(unreachable)));
