Further crowds, and what the kernel holds for a process, before any change

Added: the bound on the memory of each crowd now covers what the kernel has received and has still to send on the process's ports (stricter for all crowds that there were). `edge limits` gains a head with more fields than the HTTP library holds, and a body of 64 MB, which the pages allow, on a machine of 160 MB; the sums of `machine.rs` gain that machine.

Crowds that were tried and hold already were not added: bytes behind a request that waits at a target, unread metrics, datagrams with limits, accounts or bytes that are no message.

--- a/tests/crowd/edge.rs
+++ b/tests/crowd/edge.rs
@@ -10,12 +10,12 @@
     },
 };
 
-use {serde_json::json, tokio::task::JoinSet};
+use {serde_json::json, tokio::task::JoinSet, twox_hash::XxHash64};
 
 use crate::{
     addresses::Addresses,
     callers::{Crowd, Script, ask},
-    process::{Descriptors, peak_kb, wait_until_settled},
+    process::{Descriptors, Queues, peak_kb, wait_until_settled},
     store::Store,
     target,
 };
@@ -60,7 +60,8 @@
     machine: Machine,
     child: Child,
     descriptors: Descriptors,
-    _store: Arc<Store>,
+    queues: Queues,
+    store: Arc<Store>,
 }
 
 impl Host {
@@ -75,7 +76,9 @@
         let addresses = Addresses::find().await;
         let child = start(&addresses, store_address, machine, log);
         let descriptors = Descriptors::watch(child.id());
-        let host = Host { addresses, machine, child, descriptors, _store: store };
+        let Addresses { callers, readiness, directory, peers, metrics, .. } = addresses;
+        let queues = Queues::watch(vec![callers, readiness, directory, peers, metrics]);
+        let host = Host { addresses, machine, child, descriptors, queues, store };
         host.serves().await;
         host
     }
@@ -107,15 +110,38 @@
         self.check();
     }
 
+    /// Waits until the process has handled what it was sent.
+    pub async fn settle(&self) {
+        wait_until_settled(self.child.id()).await;
+    }
+
+    /// Registers targets with names that cannot be compressed, and waits until the host knows them.
+    pub async fn register_targets(&self, count: u32) {
+        let service = "crowd";
+        for number in 0..count {
+            let [first, second] = [0, 1].map(|seed| XxHash64::oneshot(seed, &number.to_le_bytes()));
+            let address = SocketAddr::from(([127, 1, 0, 1], 1));
+            let mut entry = target::entry(service, address, 1);
+            entry["info"]["version"] = json!(format!("{second:016x}{first:016x}"));
+            self.store.put("servers", &format!("i-{first:016x}{second:016x}"), Some(entry));
+        }
+        self.settle().await;
+    }
+
     /// Checks that the process lives within its machine.
     pub fn check(&mut self) {
         let ended = self.child.try_wait().expect("a child");
         assert!(ended.is_none(), "the process ended: {ended:?}");
         let peak_kb = peak_kb(self.child.id()).expect("a process that runs");
         let open = self.descriptors.most();
-        println!("{} MB, {open} descriptors", peak_kb / 1_024);
+        let kernel_kb = self.queues.most_kb();
+        let (own_mb, kernel_mb) = (peak_kb / 1_024, kernel_kb / 1_024);
+        println!("{own_mb} MB, {kernel_mb} MB in the kernel, {open} descriptors");
         let Machine { memory_mb, descriptors } = self.machine;
-        assert!(peak_kb <= memory_mb * 1_024, "{} MB, {memory_mb} allowed", peak_kb / 1_024);
+        assert!(
+            peak_kb + kernel_kb <= memory_mb * 1_024,
+            "{own_mb} MB and {kernel_mb} MB in the kernel, {memory_mb} allowed"
+        );
         assert!(open <= descriptors, "{open} descriptors, {descriptors} allowed");
     }
 }
--- a/tests/crowd/main.rs
+++ b/tests/crowd/main.rs
@@ -6,7 +6,7 @@
 
 #![allow(missing_docs, reason = "the modules of one test")]
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
 use {rstest::rstest, tokio::sync::Mutex};
 
@@ -19,6 +19,7 @@
 #[path = "../common/addresses.rs"]
 mod addresses;
 mod callers;
+mod datagrams;
 mod edge;
 mod process;
 mod serve;
@@ -38,7 +39,8 @@
 const CONNECTIONS: usize = 900;
 
 fn script(beginning: &str, repeated: &str, length: usize) -> Script {
-    Script { beginning: beginning.into(), repeated: repeated.into(), length }
+    let beginning = beginning.to_owned().into();
+    Script { beginning, read: 0, repeated: repeated.into(), length }
 }
 
 /// Returns a chunk of a body.
@@ -155,3 +157,75 @@
     let callers = host.addresses.callers;
     host.meet(&[callers], 60, &script("", &request, 100 * request.len())).await;
 }
+
+/// Refusals that nobody reads, with more requests behind them than a host reads.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowd_of_unread_refusals_within_memory() {
+    let _turn = TURN.lock().await;
+    let mut host = Host::spawn(LITTLE_MEMORY, Log::Discarded).await;
+    let request = format!(
+        "GET /none/a HTTP/1.1\r\nhost: site.example\r\nx-request-id: {}\r\n\r\n",
+        "a".repeat(4_000)
+    );
+    let callers = host.addresses.callers;
+    host.meet(&[callers], 500, &script("", &request, 200 * request.len())).await;
+}
+
+/// Answers that wait to be sent, on connections that were fast before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowd_of_answers_that_wait_to_be_sent_within_memory() {
+    let _turn = TURN.lock().await;
+    let mut host = Host::spawn(LITTLE_MEMORY, Log::Discarded).await;
+    let request = "GET /reads/large HTTP/1.1\r\nhost: site.example\r\n\r\n";
+    let script = Script {
+        read: 4 * target::LARGE_BYTES,
+        ..script(&request.repeat(4), request, 100 * request.len())
+    };
+    let callers = host.addresses.callers;
+    host.meet(&[callers], 60, &script).await;
+}
+
+/// Snapshots of a large registry that nobody reads.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowd_of_unread_snapshots_within_memory() {
+    let _turn = TURN.lock().await;
+    let mut host = Host::spawn(LITTLE_MEMORY, Log::Discarded).await;
+    host.register_targets(5_000).await;
+    let peers = host.addresses.peers;
+    let request = "GET /registry HTTP/1.1\r\nhost: peer\r\n\r\n";
+    host.meet(&[peers], CALLERS, &script(request, "", 0)).await;
+}
+
+/// A snapshot without end, from a host that says that it knows more.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowd_of_a_snapshot_without_end_within_memory() {
+    let _turn = TURN.lock().await;
+    let mut host = Host::spawn(LITTLE_MEMORY, Log::Discarded).await;
+    let (address, connections) = target::spawn_endless().await;
+    while connections.load(Ordering::Relaxed) == 0 {
+        datagrams::send(host.addresses.peers, 1, |_| datagrams::newer_host(address)).await;
+        host.serves().await;
+    }
+    host.settle().await;
+    host.check();
+    host.serves().await;
+}
+
+/// Datagrams that name many hosts or targets, or that unpack to far more than they are.
+#[rstest]
+#[case::members(datagrams::members, 20_000)]
+#[case::fingerprints(datagrams::suspicions, 20_000)]
+#[case::changes(datagrams::changes, 3)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowd_of_datagrams_within_memory(
+    #[case] datagram: fn(u32) -> Vec<u8>,
+    #[case] count: u32,
+) {
+    let _turn = TURN.lock().await;
+    let mut host = Host::spawn(LITTLE_MEMORY, Log::Discarded).await;
+    datagrams::send(host.addresses.peers, count, datagram).await;
+    host.settle().await;
+    host.check();
+    host.serves().await;
+    host.check();
+}
--- a/tests/crowd/serve.rs
+++ b/tests/crowd/serve.rs
@@ -16,16 +16,17 @@
     toucanhoist_core::{fleet::Fleet, key::Digest},
     toucanhoist_fakes::{
         cluster::{Cluster, Config, Node},
-        process::Addresses,
+        process::{Addresses, OPERATOR_TOKEN},
     },
     toucanhoist_store::Write,
 };
 
 use crate::{
     CONNECTIONS, TURN,
-    callers::{Crowd, Script, ask},
+    callers::{Calls, Crowd, Script, ask, attempt},
     chunk,
-    process::{Descriptors, peak_kb, wait_until_settled},
+    process::{Descriptors, Queues, peak_kb, wait_until_settled},
+    script, target,
 };
 
 /// Memory of the smallest machine, in MB, and the bound on that of the process.
@@ -37,7 +38,7 @@
 /// Key of the only account.
 const KEY: &str = "key-of-the-technicians";
 
-/// Starts one host and one target.
+/// Starts one host, a target for ordinary callers, and one for the crowd.
 async fn spawn() -> Cluster {
     let config = Config {
         binary: limited_binary(),
@@ -45,6 +46,8 @@
         targets: vec![Node::new("cuts-1", "hill-1")],
         log_level: "info",
     };
+    let crowd = target::spawn().await;
+    let rows = |targets: &[SocketAddr]| rows("hill-1", &[targets[0], crowd]);
     let cluster = Cluster::spawn(config, rows).await.expect("the cluster starts");
     serves(&cluster).await;
     cluster
@@ -62,18 +65,28 @@
     path
 }
 
-fn rows(targets: &[SocketAddr]) -> Vec<Write> {
-    let route = |path: &str, methods: &[&str], repeatable: bool| {
-        json!({"service": "cuts", "path": path, "methods": methods, "access": "keyed",
+fn rows(data_centre: &str, targets: &[SocketAddr]) -> Vec<Write> {
+    let route = |service: &str, path: &str, methods: &[&str], repeatable: bool| {
+        json!({"service": service, "path": path, "methods": methods, "access": "keyed",
             "repeatable": repeatable, "deadline": "60s"})
     };
+    let target = |service: &str, address: SocketAddr| {
+        json!({"name": format!("{service}-1"), "service": service, "data_centre": data_centre,
+            "address": address})
+    };
     let fleet = json!({
-        "regions": [{"name": "hill", "data_centres": ["hill-1"]}],
+        "defaults": {"slots": 1_000, "connections": 2_000},
+        "regions": [
+            {"name": "hill", "data_centres": ["hill-1"]},
+            {"name": "lake", "data_centres": ["lake-1"]},
+        ],
         "client_blocks": [{"block": "10.1.0.0/16", "home": "hill-1"}],
-        "services": [{"name": "cuts"}],
-        "targets": [{"name": "cuts-1", "service": "cuts", "data_centre": "hill-1",
-            "address": targets[0]}],
-        "routes": [route("/records", &["POST"], false), route("/", &["GET"], true)],
+        "services": [{"name": "cuts"}, {"name": "crowd"}],
+        "targets": [target("cuts", targets[0]), target("crowd", targets[1])],
+        "routes": [
+            route("cuts", "/records", &["POST"], false), route("cuts", "/", &["GET"], true),
+            route("crowd", "/", &["GET"], true),
+        ],
         "accounts": [{"name": "technicians", "rate": "100000/s", "burst": 100_000}],
     });
     let change = fleet::Change {
@@ -92,6 +105,11 @@
     writes
 }
 
+/// Returns a request that the crowd's target answers.
+fn get(path: &str) -> String {
+    format!("GET /crowd/{path} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {KEY}\r\n\r\n")
+}
+
 /// Asks for what ordinary callers and operators ask for; panics if one of them gets no answer.
 async fn serves(cluster: &Cluster) {
     let addresses = cluster.hosts[0].addresses();
@@ -100,27 +118,46 @@
     ask(addresses.operators, "GET /ready HTTP/1.1\r\nhost: a\r\n\r\n", 200).await;
 }
 
-/// Checks that the process lives within its machine.
-fn check(cluster: &Cluster, descriptors: &Descriptors) {
-    let pid = cluster.hosts[0].pid().expect("a process that runs");
-    let peak_kb = peak_kb(pid).expect("a process that runs");
-    let (open, allowed) = (descriptors.most(), DESCRIPTORS - DESCRIPTORS_LEFT);
-    println!("{} MB, {open} descriptors", peak_kb / 1_024);
-    assert!(peak_kb <= MEMORY_MB * 1_024, "{} MB, {MEMORY_MB} allowed", peak_kb / 1_024);
-    assert!(open <= allowed, "{open} descriptors, {allowed} allowed");
+/// What the process of the first host uses.
+struct Usage {
+    pid: u32,
+    descriptors: Descriptors,
+    queues: Queues,
+}
+
+impl Usage {
+    fn watch(cluster: &Cluster) -> Usage {
+        let pid = cluster.hosts[0].pid().expect("a process that runs");
+        let Addresses { callers, operators, peers } = cluster.hosts[0].addresses();
+        let queues = Queues::watch(vec![callers, operators, peers]);
+        Usage { pid, descriptors: Descriptors::watch(pid), queues }
+    }
+
+    /// Checks that the process lives within its machine.
+    fn check(&self) {
+        let peak_kb = peak_kb(self.pid).expect("a process that runs");
+        let kernel_kb = self.queues.most_kb();
+        let (open, allowed) = (self.descriptors.most(), DESCRIPTORS - DESCRIPTORS_LEFT);
+        let (own_mb, kernel_mb) = (peak_kb / 1_024, kernel_kb / 1_024);
+        println!("{own_mb} MB, {kernel_mb} MB in the kernel, {open} descriptors");
+        assert!(
+            peak_kb + kernel_kb <= MEMORY_MB * 1_024,
+            "{own_mb} MB and {kernel_mb} MB in the kernel, {MEMORY_MB} allowed"
+        );
+        assert!(open <= allowed, "{open} descriptors, {allowed} allowed");
+    }
 }
 
 async fn meet(cluster: &mut Cluster, address: SocketAddr, count: usize, script: &Script) {
     cluster.hosts[0].discard_lines();
-    let pid = cluster.hosts[0].pid().expect("a process that runs");
-    let descriptors = Descriptors::watch(pid);
+    let usage = Usage::watch(cluster);
     let crowd = Crowd::gather(address, count, script).await;
-    wait_until_settled(pid).await;
-    check(cluster, &descriptors);
+    wait_until_settled(usage.pid).await;
+    usage.check();
     serves(cluster).await;
     drop(crowd);
     serves(cluster).await;
-    check(cluster, &descriptors);
+    usage.check();
 }
 
 #[rstest]
@@ -138,7 +175,7 @@
     let _turn = TURN.lock().await;
     let mut cluster = spawn().await;
     let address = port(cluster.hosts[0].addresses());
-    let script = Script { beginning: beginning.into(), repeated: String::new(), length: 0 };
+    let script = script(beginning, "", 0);
     meet(&mut cluster, address, CONNECTIONS, &script).await;
 }
 
@@ -157,7 +194,7 @@
         "POST /cuts/records HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {KEY}\r\n\
          idempotency-key: cut\r\n{framing}\r\n\r\n"
     );
-    let script = Script { beginning, repeated, length };
+    let script = script(&beginning, &repeated, length);
     let callers = cluster.hosts[0].addresses().callers;
     meet(&mut cluster, callers, 400, &script).await;
 }
@@ -169,7 +206,96 @@
     let path = "a".repeat(30_000);
     let request = format!("POST /cuts/{path} HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n");
     let length = 200 * request.len();
-    let script = Script { beginning: String::new(), repeated: request, length };
+    let script = script("", &request, length);
     let callers = cluster.hosts[0].addresses().callers;
     meet(&mut cluster, callers, 60, &script).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowd_at_serve_of_unread_answers() {
+    let _turn = TURN.lock().await;
+    let mut cluster = spawn().await;
+    let callers = cluster.hosts[0].addresses().callers;
+    meet(&mut cluster, callers, CONNECTIONS, &script(&get("large"), "", 0)).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowd_at_serve_of_endless_heads_of_answers() {
+    let _turn = TURN.lock().await;
+    let mut cluster = spawn().await;
+    let callers = cluster.hosts[0].addresses().callers;
+    meet(&mut cluster, callers, CONNECTIONS, &script(&get("head"), "", 0)).await;
+}
+
+/// Answers that wait to be sent, on connections that were fast before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowd_at_serve_of_answers_that_wait_to_be_sent() {
+    let _turn = TURN.lock().await;
+    let mut cluster = spawn().await;
+    let callers = cluster.hosts[0].addresses().callers;
+    let large = get("large");
+    let script =
+        Script { read: 4 * target::LARGE_BYTES, ..script(&large.repeat(4), &large, 8_000) };
+    meet(&mut cluster, callers, 250, &script).await;
+}
+
+/// Bodies of operators' requests, which carry the operators' token.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowd_at_serve_of_bodies_of_operators() {
+    let _turn = TURN.lock().await;
+    let mut cluster = spawn().await;
+    let operators = cluster.hosts[0].addresses().operators;
+    let beginning = format!(
+        "PUT /configuration HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {OPERATOR_TOKEN}\r\n\
+         content-length: 200000000\r\n\r\n"
+    );
+    meet(&mut cluster, operators, 20, &script(&beginning, "a", 30_000_000)).await;
+}
+
+/// Messages without end to the port for hosts, without the fleet's secret.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowd_at_serve_of_messages_without_the_secret() {
+    let _turn = TURN.lock().await;
+    let cluster = spawn().await;
+    let usage = Usage::watch(&cluster);
+    let peers = cluster.hosts[0].addresses().peers;
+    let mut calls = Vec::new();
+    for _ in 0..10 {
+        calls.push(Calls::begin(peers, 50, 2_000_000).await);
+    }
+    wait_until_settled(usage.pid).await;
+    usage.check();
+    serves(&cluster).await;
+    drop(calls);
+    serves(&cluster).await;
+    usage.check();
+}
+
+/// A forwarded request is answered although its host's port for hosts becomes full.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowd_at_serve_beside_a_forwarded_request() {
+    let _turn = TURN.lock().await;
+    let config = Config {
+        binary: limited_binary(),
+        hosts: vec![Node::new("entry-1", "hill-1"), Node::new("entry-2", "lake-1")],
+        targets: vec![Node::new("cuts-1", "lake-1")],
+        log_level: "info",
+    };
+    let rows = |targets: &[SocketAddr]| rows("lake-1", &[targets[0], targets[0]]);
+    let cluster = Cluster::spawn(config, rows).await.expect("the cluster starts");
+    let [near, far] = [0, 1].map(|index| cluster.hosts[index].addresses());
+    let get = |path: &str| {
+        format!("GET /cuts/{path} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {KEY}\r\n\r\n")
+    };
+    ask(near.callers, &get("a"), 200).await;
+    let slow = get("a?delay_ms=5000");
+    let crowd = script("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", "", 0);
+    let (answer, _crowd) = tokio::join!(attempt(near.callers, &slow), async {
+        while cluster.targets[0].counters().running.load(Ordering::Relaxed) == 0 {
+            tokio::task::yield_now().await;
+        }
+        Crowd::gather(far.peers, CONNECTIONS, &crowd).await
+    });
+    let answer = answer.expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
--- a/tests/crowd/target.rs
+++ b/tests/crowd/target.rs
@@ -1,6 +1,12 @@
 //! A target whose answers depend on the path.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
 
 use {
     serde_json::{Value, json},
@@ -11,7 +17,7 @@
 };
 
 /// Size of the answer to a path with `large`.
-const LARGE_BYTES: usize = 1_024 * 1_024;
+pub const LARGE_BYTES: usize = 1_024 * 1_024;
 
 /// Spawns a target; returns its address.
 pub async fn spawn() -> SocketAddr {
@@ -26,6 +32,31 @@
     address
 }
 
+/// Spawns a server that answers each request with a body without end; returns its address, and the number of its
+/// connections.
+pub async fn spawn_endless() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let connections = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&connections);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            counted.fetch_add(1, Ordering::Relaxed);
+            // A host that disconnects ends the exchange.
+            tokio::spawn(async move { pour(stream).await.unwrap_or_default() });
+        }
+    });
+    (address, connections)
+}
+
+async fn pour(mut stream: TcpStream) -> std::io::Result<()> {
+    stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n").await?;
+    let chunk = format!("10000\r\n{}\r\n", "a".repeat(0x1_0000));
+    loop {
+        stream.write_all(chunk.as_bytes()).await?;
+    }
+}
+
 /// Returns the entry of a target in the store.
 pub fn entry(service: &str, address: SocketAddr, slots: u32) -> Value {
     json!({
--- a/toucanhoist-core/tests/machine.rs
+++ b/toucanhoist-core/tests/machine.rs
@@ -9,8 +9,12 @@
 /// Part of the memory that is left for the process itself, its log, and what the kernel has received.
 const LEFT_FRACTION: usize = 5;
 
+/// The smallest machine that the users have.
+const SMALLEST: Machine = Machine { memory: 160_000_000, descriptors: 4_100 };
+
 #[rstest]
-#[case::smallest(Machine::default())]
+#[case::usual(Machine::default())]
+#[case::smallest(SMALLEST)]
 #[case::little_memory(Machine { memory: 64_000_000, descriptors: 4_100 })]
 #[case::few_descriptors(Machine { memory: 260_000_000, descriptors: 512 })]
 #[case::large(Machine { memory: 8_000_000_000, descriptors: 100_000 })]
@@ -20,10 +24,17 @@
     assert!(allotment.connections() < machine.descriptors, "{allotment:?}");
 }
 
+#[rstest]
+#[case::usual(Machine::default())]
+#[case::smallest(SMALLEST)]
+fn a_body_of_the_largest_size_that_the_pages_allow_is_held(#[case] machine: Machine) {
+    let allotment = machine.allotment();
+    assert!(allotment.held > BODY_BYTES_MAX, "{allotment:?}");
+}
+
 #[test]
-fn the_smallest_machine_serves_what_the_pages_allow() {
+fn the_usual_machine_serves_what_the_pages_allow() {
     let allotment = Machine::default().allotment();
-    assert!(allotment.held > BODY_BYTES_MAX, "{allotment:?}");
     let open = allotment.connections();
     assert!(open + DESCRIPTORS_LEFT <= Machine::default().descriptors, "{open}");
     // The most that ordinary callers were seen to open at one host at the same time.
--- a/toucanhoist-edge/tests/edge/limits.rs
+++ b/toucanhoist-edge/tests/edge/limits.rs
@@ -7,12 +7,15 @@
         net::TcpStream,
     },
     toucanhoist_core::steering::{Config, Key, Limits, Value},
-    toucanhoist_edge::host::Edge,
+    toucanhoist_edge::{
+        host::Edge,
+        settings::{Machine, Settings},
+    },
 };
 
 use super::support::{
-    Behaviour, FakeTarget, Memory, config, entry, get, header, host, name, put_config, read, send,
-    site, status, wait_until_ready,
+    Behaviour, FakeTarget, Memory, config, entry, get, header, name, put_config, read, send,
+    settings, site, spawn, status, wait_until_ready,
 };
 
 const HEAD_BYTES: usize = 16 * 1_024;
@@ -65,23 +68,47 @@
     }
 }
 
-async fn large_site(target: &FakeTarget) -> (Edge, std::sync::Arc<Memory>) {
+/// Heads whose fields the HTTP library could not hold are refused like others that are too large.
+#[tokio::test]
+async fn more_fields_than_the_library_holds_are_refused() {
+    let target = FakeTarget::spawn(Behaviour::Answer).await;
+    let limits = Limits { header_bytes: 200_000, ..Limits::default() };
+    let (edge, _store) = site_with(&target, limits, Machine::default()).await;
+    let callers = edge.addresses().callers;
+    assert_eq!(send(callers, &head(&"a:\r\n".repeat(40_000))).await.0, 431);
+    assert_eq!(send(callers, &head(&"a:\r\n".repeat(20_000))).await.0, 200);
+}
+
+async fn site_with(
+    target: &FakeTarget,
+    limits: Limits,
+    machine: Machine,
+) -> (Edge, std::sync::Arc<Memory>) {
     let store = Memory::new();
-    let limits = Limits { body_bytes: BODY_BYTES, ..Limits::default() };
     put_config(&store, Config { limits, ..config(1) });
     store.put(Key::Target(name("t1")), Some(Value::Target(entry(target.address))));
-    let edge = host("h1", &store, Vec::new()).await;
+    let edge = spawn(Settings { machine, ..settings("h1", Vec::new()) }, &store).await;
     wait_until_ready(&edge).await;
     (edge, store)
 }
 
+async fn large_site(target: &FakeTarget) -> (Edge, std::sync::Arc<Memory>) {
+    let limits = Limits { body_bytes: BODY_BYTES, ..Limits::default() };
+    site_with(target, limits, Machine::default()).await
+}
+
+/// Machines of 160 MB are the smallest that the users have.
 #[rstest]
-#[case::stated(false)]
-#[case::chunked(true)]
+#[case::stated(false, 260.0)]
+#[case::chunked(true, 260.0)]
+#[case::stated_smallest_machine(false, 160.0)]
+#[case::chunked_smallest_machine(true, 160.0)]
 #[tokio::test]
-async fn a_body_at_the_limit_is_served(#[case] is_chunked: bool) {
+async fn a_body_at_the_limit_is_served(#[case] is_chunked: bool, #[case] memory_mb: f64) {
     let target = FakeTarget::spawn(Behaviour::Answer).await;
-    let (edge, _store) = large_site(&target).await;
+    let limits = Limits { body_bytes: BODY_BYTES, ..Limits::default() };
+    let machine = Machine { memory_mb, ..Machine::default() };
+    let (edge, _store) = site_with(&target, limits, machine).await;
     let mut stream = TcpStream::connect(edge.addresses().callers).await.expect("a connection");
     let framing = match is_chunked {
         true => "transfer-encoding: chunked".to_owned(),
