edge: bound what is fetched and unpacked of another host's registry

A datagram of 50 KB unpacked to 64 MB.

After a time-out the connection's task went on.

The registry of a large fleet has 64 and 640 KB. The task of the connection ends with the request.

Why it works: both are read through a limit, before anything is parsed.

--- a/toucanhoist-edge/src/fleet/exchange.rs
+++ b/toucanhoist-edge/src/fleet/exchange.rs
@@ -24,6 +24,9 @@
 /// Interval at which a host asks others for confirmations.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Size limit of changes that are unpacked from a datagram, which holds about a tenth of them.
+const CHANGES_BYTES_MAX: u64 = 1 << 20;
+
 impl Task {
     /// Sends a heartbeat if it is due, and this host follows the store and is connected to it.
     pub(super) fn send_heartbeat(&mut self, now: Time) {
@@ -93,7 +96,8 @@
     /// Applies changes that a watcher broadcasts.
     pub(super) fn handle_changes(&mut self, now: Time, packet: &wire::Changes) {
         let Some(topic) = Topic::from_number(packet.topic) else { return };
-        let Ok(entries) = packing::unpack::<Vec<(Key, Entry)>>(&packet.packed) else {
+        let unpacked = packing::unpack::<Vec<(Key, Entry)>>(&packet.packed, CHANGES_BYTES_MAX);
+        let Ok(entries) = unpacked else {
             metrics::counter!("toucanhoist_datagrams_malformed_total").increment(1);
             return;
         };
--- a/toucanhoist-edge/src/packing.rs
+++ b/toucanhoist-edge/src/packing.rs
@@ -10,10 +10,6 @@
     serde::{Serialize, de::DeserializeOwned},
 };
 
-/// Largest document that is unpacked, in bytes. It is about a hundred times the registry of a large fleet, so
-/// a larger one can only be a fault.
-const UNPACKED_BYTES_MAX: u64 = 64 << 20;
-
 /// Serialises and compresses a value.
 ///
 /// # Errors
@@ -25,13 +21,13 @@
     packed.finish()
 }
 
-/// Decompresses and deserialises a value.
+/// Decompresses and deserialises a value whose document has at most `bytes_max` bytes.
 ///
 /// # Errors
 ///
 /// The bytes are not a packed value of the type, or the document is too large.
-pub fn unpack<T: DeserializeOwned>(packed: &[u8]) -> io::Result<T> {
+pub fn unpack<T: DeserializeOwned>(packed: &[u8], bytes_max: u64) -> io::Result<T> {
     let mut plain = Vec::new();
-    DeflateDecoder::new(packed).take(UNPACKED_BYTES_MAX).read_to_end(&mut plain)?;
+    DeflateDecoder::new(packed).take(bytes_max).read_to_end(&mut plain)?;
     serde_json::from_slice(&plain).map_err(Into::into)
 }
--- a/toucanhoist-edge/src/peers.rs
+++ b/toucanhoist-edge/src/peers.rs
@@ -17,13 +17,14 @@
 use {
     bytes::Bytes,
     http::{Request, Response, StatusCode},
-    http_body_util::{BodyExt, Full},
+    http_body_util::{BodyExt, Full, Limited},
     hyper::client::conn::http1,
     hyper_util::rt::TokioIo,
     prost::Message as _,
     tokio::{
         net::{TcpListener, UdpSocket},
         sync::Notify,
+        task::JoinSet,
         time,
     },
     toucanhoist_core::steering::{Snapshot, Topic, Version},
@@ -42,6 +43,10 @@
 const DATAGRAM_BYTES_MAX: usize = 60_000;
 /// Path of the registry's snapshot.
 const SNAPSHOT_PATH: &str = "/registry";
+/// Size limit of a snapshot that is fetched, packed and unpacked. The registry of a large fleet has 64 and 640 KB, so
+/// a larger one can only be a fault.
+const SNAPSHOT_BYTES_MAX: usize = 4 << 20;
+const SNAPSHOT_UNPACKED_BYTES_MAX: u64 = 16 << 20;
 /// Time-out for fetching a snapshot.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time-out for the head of a peer's request.
@@ -210,7 +215,7 @@
 ///
 /// # Errors
 ///
-/// The host does not answer in time, or its answer cannot be unpacked.
+/// The host does not answer in time, or its answer is too large or cannot be unpacked.
 pub async fn fetch_snapshot(
     from: SocketAddr,
     known: BTreeMap<Topic, Version>,
@@ -227,14 +232,15 @@
     let stream = socket::connect(from, SNAPSHOT_TIMEOUT).await?;
     let (mut sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-    let driver = tokio::spawn(connection);
+    // Aborted when the request ends, also in a time-out.
+    let mut driver = JoinSet::new();
+    driver.spawn(connection);
     let query = known.iter().map(|(topic, version)| format!("{}={version}", topic.number()));
     let request = Request::get(format!("{SNAPSHOT_PATH}?{}", query.collect::<Vec<_>>().join("&")))
         .header("host", from.to_string())
         .body(Full::<Bytes>::default())
         .map_err(io::Error::other)?;
     let answer = sender.send_request(request).await.map_err(io::Error::other)?;
-    let content = answer.into_body().collect().await.map_err(io::Error::other)?.to_bytes();
-    driver.abort();
-    packing::unpack(&content)
+    let content = Limited::new(answer.into_body(), SNAPSHOT_BYTES_MAX).collect().await;
+    packing::unpack(&content.map_err(io::Error::other)?.to_bytes(), SNAPSHOT_UNPACKED_BYTES_MAX)
 }
