quarantine: bound what other hosts report

What callers saw: the process ran out of memory while datagrams with fingerprints of requests arrived at the port for hosts.

Cause: room for an entry was made once for a message, not for each report in it, and the targets of an entry were added without a bound.

Change: room is made for each new entry, and an entry keeps eight targets; two quarantine a fingerprint.

Why it works: the table has a size that no message can exceed.

--- a/toucanhoist-core/src/quarantine.rs
+++ b/toucanhoist-core/src/quarantine.rs
@@ -25,6 +25,8 @@
 const TARGETS_MIN: usize = 2;
 const RETENTION: Duration = Duration::from_secs(600);
 const ENTRIES_MAX: usize = 1_024;
+/// Targets that are kept of a fingerprint; two of them quarantine it.
+const TARGETS_MAX: usize = 8;
 /// Number of times that a host sends a report of its own observation, since a datagram may be lost.
 const TRANSMISSIONS: u32 = 3;
 /// Interval at which quarantines and releases are sent again, for hosts that were unreachable;
@@ -172,7 +174,7 @@
         self.evict(now);
         let suspected = || Entry::new(Stage::Suspected, BTreeSet::new(), now + RETENTION);
         let entry = self.entries.entry(fingerprint).or_insert_with(suspected);
-        entry.targets.insert(target.clone());
+        entry.add_targets([target.clone()]);
         entry.schedule_reports();
         entry.quarantine_if_due(now)
     }
@@ -221,9 +223,11 @@
 
     /// Merges another host's reports; returns the fingerprints that this quarantines.
     pub fn merge(&mut self, now: Time, reports: Vec<Report>) -> Vec<Fingerprint> {
-        self.evict(now);
         let mut quarantined = Vec::new();
         for report in reports {
+            if !self.entries.contains_key(&report.fingerprint) {
+                self.evict(now);
+            }
             let until = now + report.remaining.min(RETENTION);
             let reported = Entry::new(report.stage, report.targets, until);
             match self.entries.get_mut(&report.fingerprint) {
@@ -257,7 +261,24 @@
 
 impl Entry {
     fn new(stage: Stage, targets: BTreeSet<id::Target>, until: Time) -> Entry {
-        Entry { stage, targets, until, is_own: false, transmissions_left: 0, last_sent: Time::ZERO }
+        let mut entry = Entry {
+            stage,
+            targets: BTreeSet::new(),
+            until,
+            is_own: false,
+            transmissions_left: 0,
+            last_sent: Time::ZERO,
+        };
+        entry.add_targets(targets);
+        entry
+    }
+
+    fn add_targets(&mut self, targets: impl IntoIterator<Item = id::Target>) {
+        for target in targets {
+            if self.targets.len() < TARGETS_MAX {
+                self.targets.insert(target);
+            }
+        }
     }
 
     fn report(&self, now: Time, fingerprint: Fingerprint) -> Report {
@@ -292,7 +313,7 @@
         if reported.stage > self.stage {
             (self.stage, self.until) = (reported.stage, reported.until);
         }
-        self.targets.extend(reported.targets);
+        self.add_targets(reported.targets);
         self.quarantine_if_due(now)
             || (stage_before == Stage::Suspected && self.stage == Stage::Held)
     }
--- a/toucanhoist-core/tests/quarantine.rs
+++ b/toucanhoist-core/tests/quarantine.rs
@@ -9,7 +9,7 @@
     toucanhoist_core::{
         clock::Time,
         id,
-        quarantine::{Fingerprint, Quarantine, Stage},
+        quarantine::{Fingerprint, Quarantine, Report, Stage},
     },
 };
 
@@ -132,3 +132,21 @@
         "a suspicion was sent twice before others were sent once"
     );
 }
+
+/// What other hosts report is kept within bounds, however much it is.
+#[test]
+fn reports_of_other_hosts_are_bounded() {
+    let mut quarantine = Quarantine::default();
+    let targets: BTreeSet<id::Target> = (0..100).map(target).collect();
+    let report = |number: u64| Report {
+        fingerprint: number.into(),
+        stage: Stage::Suspected,
+        targets: targets.clone(),
+        remaining: Duration::from_secs(60),
+    };
+    quarantine.merge(Time::ZERO, (0..5_000).map(report).collect());
+    quarantine.merge(Time::ZERO, (4_000..4_500).map(report).collect());
+    let reports = quarantine.reports(Time::ZERO);
+    assert_eq!(reports.len(), 1_024);
+    assert!(reports.iter().all(|report| report.targets.len() == 8));
+}
