membership: bound what hosts that nobody has registered take up

What callers saw: after datagrams that name many hosts at the port for hosts, no ordinary request was answered any more.

Cause: each record of a host became a member, probed and gossiped on, and merging one searches the updates that wait: the task that owns the registry was busy for minutes. The times of the last messages and the reports of data centres were kept for every name in a message, and heartbeats for every sender.

Names of data centres are kept only where a member has one. Heartbeats of 4,096 senders are remembered.

Why it works: what a message costs no longer follows what earlier ones named, and a host that the store knows is not kept out by those it does not.

--- a/toucanhoist-core/src/membership/detector.rs
+++ b/toucanhoist-core/src/membership/detector.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, HashSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashSet, VecDeque},
     net::SocketAddr,
     time::Duration,
 };
@@ -46,6 +46,10 @@
     /// Rounds over all data centres without a message from one after which it counts as
     /// unreachable.
     pub unresponsive_rounds: u32,
+    /// Number of members, apart from registered hosts, above which no further ones are taken.
+    pub members_max: usize,
+    /// Number of data centres above which unregistered hosts of further ones are not taken.
+    pub data_centres_max: usize,
     /// Time after which dead members are removed.
     pub dead_retention: Duration,
     /// Time for which a flapping member still counts as dead when it returns after its second
@@ -71,6 +75,8 @@
             records_max: 128,
             repair_interval: Duration::from_secs(2),
             unresponsive_rounds: 4,
+            members_max: 4_096,
+            data_centres_max: 256,
             dead_retention: Duration::from_secs(600),
             flap_hold: Duration::from_secs(5),
             flap_hold_max: Duration::from_secs(60),
@@ -108,6 +114,8 @@
     revision: id::Revision,
     era: u64,
     known: BTreeMap<id::EntryHost, Known>,
+    /// Hosts that have registered, for which there is always room.
+    registered: BTreeSet<id::EntryHost>,
     digest: Digest,
     candidates: VecDeque<Candidate>,
     /// Hosts of the data centre that are still to be probed in this round, in random order.
@@ -194,6 +202,7 @@
             revision: id::Revision::default(),
             era: 0,
             known: BTreeMap::new(),
+            registered: BTreeSet::new(),
             digest,
             candidates: VecDeque::new(),
             probe_round: Vec::new(),
@@ -237,6 +246,11 @@
         self.era = era;
     }
 
+    /// Sets the hosts that have registered.
+    pub fn set_registered(&mut self, registered: BTreeSet<id::EntryHost>) {
+        self.registered = registered;
+    }
+
     /// Adds addresses at which hosts may run; a host becomes a member only when it answers.
     ///
     /// If there are many addresses, only a few are probed: the first hosts that answer know the
@@ -291,16 +305,23 @@
 
     /// Processes a message and returns the answers and the messages to other hosts.
     pub fn receive(&mut self, now: Time, message: Message) -> Vec<Envelope> {
-        let Message { from, digest, records, unreachable, body, .. } = message;
+        let Message { from, digest, records, mut unreachable, body, .. } = message;
+        if !self.has_room_for(&from) {
+            return Vec::new();
+        }
         if from.name == self.me.name {
             // Two processes with the same name refute each other; neither is a peer of the other.
             self.merge(now, from);
             return Vec::new();
         }
         let (sender, to) = (from.name.clone(), from.peers);
-        self.last_received.insert(from.data_centre.clone(), now);
+        // A data centre that is new gets its entry when its host becomes a member.
+        if let Some(received) = self.last_received.get_mut(&from.data_centre) {
+            *received = now;
+        }
         self.failed_exchanges.remove(&from.data_centre);
         if from.data_centre == self.me.data_centre {
+            unreachable.retain(|name| self.data_centres.contains(name));
             self.adopt_failures(&unreachable);
             self.reports.insert(sender.clone(), Report { received: now, unreachable });
         }
--- a/toucanhoist-core/src/membership/detector/gossip.rs
+++ b/toucanhoist-core/src/membership/detector/gossip.rs
@@ -49,6 +49,9 @@
             self.refute(&record);
             return;
         }
+        if !self.has_room_for(&record) {
+            return;
+        }
         let (from, before) = match self.known.get(&record.name) {
             Some(known) if !record.supersedes(&known.member) => return,
             Some(known) => (Some(known.member.state), Some(known.member.incarnation)),
@@ -86,6 +89,19 @@
         }
     }
 
+    /// Whether a record may be taken. Anyone who reaches the host's port may name hosts, so those that are not known
+    /// otherwise have limited room.
+    pub(super) fn has_room_for(&self, record: &Member) -> bool {
+        let name = &record.data_centre;
+        let is_known = self.known.contains_key(&record.name)
+            || self.registered.contains(&record.name)
+            || record.name == self.me.name;
+        let has_data_centre = *name == self.me.data_centre || self.data_centres.contains(name);
+        is_known
+            || self.known.len() < self.config.members_max
+                && (has_data_centre || self.data_centres.len() < self.config.data_centres_max)
+    }
+
     /// Adds a new member to the round of probes, or its data centre to the round of exchanges.
     pub(super) fn add_to_rounds(&mut self, now: Time, record: &Member) {
         let name = &record.data_centre;
--- a/toucanhoist-core/src/steering/relay.rs
+++ b/toucanhoist-core/src/steering/relay.rs
@@ -28,6 +28,8 @@
 /// Time that a group of hosts has to take over and send before the next group does: a call to the
 /// store and a tick.
 const TAKEOVER_STEP: Duration = Duration::from_millis(200);
+/// Hosts whose heartbeats are remembered; more than a region has.
+const HEARTBEATS_MAX: usize = 4_096;
 /// Time for which a heartbeat is remembered; longer than any takeover timeout.
 const HEARTBEAT_RETENTION: Duration = Duration::from_secs(60);
 /// Time after the fleet's first start in which the members become known. A host that starts later
@@ -120,7 +122,9 @@
     /// Records the heartbeat of a host that the store last answered at `answered_at`.
     pub fn record_heartbeat(&mut self, now: Time, from: SocketAddr, answered_at: Time) {
         self.last_answers.retain(|_, answered_at| now < *answered_at + HEARTBEAT_RETENTION);
-        self.last_answers.insert(from, answered_at);
+        if self.last_answers.len() < HEARTBEATS_MAX || self.last_answers.contains_key(&from) {
+            self.last_answers.insert(from, answered_at);
+        }
     }
 
     /// Sets when all that this host knows was last confirmed.
--- a/toucanhoist-core/tests/membership.rs
+++ b/toucanhoist-core/tests/membership.rs
@@ -12,7 +12,7 @@
     rstest::rstest,
     toucanhoist_core::{
         clock::Time,
-        membership::{Config, Detector, Envelope, Incarnation, Member, Message, State},
+        membership::{Body, Config, Detector, Envelope, Incarnation, Member, Message, State},
     },
 };
 
@@ -369,3 +369,36 @@
     net.run(Duration::from_secs(90));
     net.assert_correct_views();
 }
+
+fn message(from: Member, records: Vec<Member>) -> Message {
+    Message {
+        from,
+        revision: 0.into(),
+        era: 0,
+        digest: 0,
+        records,
+        unreachable: Vec::new(),
+        body: Body::Ping { probe: 1 },
+    }
+}
+
+/// Hosts that nobody has registered have limited room, in which those that are registered take part.
+#[rstest]
+#[case::of_one_data_centre(|number| member(number, 0, 1), 101)]
+#[case::of_data_centres_of_their_own(|number| member(number, number, 1), 13)]
+fn unregistered_hosts_are_bounded(#[case] unknown: fn(usize) -> Member, #[case] expected: usize) {
+    let config = Config { members_max: 100, data_centres_max: 12, ..Config::default() };
+    let mut detector = Detector::new(config, member(0, 0, 1), 1);
+    let unknown = |number: usize| Member { peers: address(1), ..unknown(number) };
+    detector.receive(Time::ZERO, message(unknown(1), (2..500).map(unknown).collect()));
+    (500..600).for_each(|number| {
+        detector.receive(Time::ZERO, message(unknown(number), Vec::new()));
+    });
+    assert_eq!(detector.view(Time::ZERO).members.len(), expected);
+    let late = member(1_000, 1_000, 1);
+    detector.receive(Time::ZERO, message(late.clone(), Vec::new()));
+    assert_eq!(detector.view(Time::ZERO).member(&late.name), None);
+    detector.set_registered([late.name.clone()].into());
+    detector.receive(Time::ZERO, message(late.clone(), Vec::new()));
+    assert_eq!(detector.view(Time::ZERO).member(&late.name), Some(&late));
+}
--- a/toucanhoist-edge/src/fleet/publish.rs
+++ b/toucanhoist-edge/src/fleet/publish.rs
@@ -135,6 +135,7 @@
         let own_name = &self.parts.settings.name;
         let others = hosts.iter().filter(|(name, _)| *name != own_name).map(|(_, host)| host.peers);
         self.detector.add_candidates(others);
+        self.detector.set_registered(hosts.keys().cloned().collect());
         self.parts.steer.send(steer::Input::Hosts(hosts));
         self.publish_view(now);
         self.set_host_addresses(now, addresses);
