Tests of packing state the limit of what they unpack

Cause: gave `unpack` a limit, and these two test files did not compile with it.

Change: they state one, and the round trip also checks that a document one byte larger than the limit is an error.

--- a/toucanhoist-edge/tests/edge/malformed.rs
+++ b/toucanhoist-edge/tests/edge/malformed.rs
@@ -63,8 +63,8 @@
         {
             let _ = membership::Message::try_from(message);
         }
-        let _ = packing::unpack::<Snapshot>(&snapshot);
-        let _ = packing::unpack::<Vec<(Key, Entry)>>(&snapshot);
+        let _ = packing::unpack::<Snapshot>(&snapshot, 1 << 20);
+        let _ = packing::unpack::<Vec<(Key, Entry)>>(&snapshot, 1 << 20);
         let _ = Settings::from_json(&String::from_utf8_lossy(&text));
         let _ = version.parse::<Version>();
     }
--- a/toucanhoist-edge/tests/packing.rs
+++ b/toucanhoist-edge/tests/packing.rs
@@ -95,7 +95,9 @@
     let packed = packing::pack(&entries).expect("entries are JSON");
     println!("{plain} bytes, {} packed", packed.len());
     assert!(packed.len() <= 8_000, "{} bytes of {plain}", packed.len());
-    assert_eq!(packing::unpack::<Vec<(Key, Entry)>>(&packed).expect("what was packed"), entries);
+    let unpacked = |bytes_max| packing::unpack::<Vec<(Key, Entry)>>(&packed, bytes_max);
+    assert_eq!(unpacked(plain as u64).expect("what was packed"), entries);
+    assert!(unpacked(plain as u64 - 1).is_err());
 }
 
 #[rstest]
@@ -103,5 +105,5 @@
 #[case::not_packed(b"[]")]
 #[case::truncated(&[0x4b, 0x04, 0x00])]
 fn bytes_that_are_not_a_packed_value_are_an_error(#[case] bytes: &[u8]) {
-    assert!(packing::unpack::<Vec<(Key, Entry)>>(bytes).is_err());
+    assert!(packing::unpack::<Vec<(Key, Entry)>>(bytes, 1_000).is_err());
 }
