edge: bound datagrams that wait to be handled

What callers could see: a process out of memory. Datagrams of other hosts went into a queue without a bound to the task that decides about requests, and into one of 1,024 messages of up to 60 KB each, decoded to a multiple, to the task that owns the registry. And that first task emptied its queue before it did anything else, however long datagrams went on. Read in the code; on this machine, with a core to itself, the task kept up with the crowds.

Change: what has been received and not been handled is at most 1 MB, counted from the socket to the end of its handling; more is lost and counted, as it may be in the network. Messages are converted by the task that handles them. A round handles what waited at its beginning.

--- a/toucanhoist-edge/src/fleet.rs
+++ b/toucanhoist-edge/src/fleet.rs
@@ -25,13 +25,13 @@
         membership::{self, Detector, Incarnation, Member, Message, State, View},
         steering::{Bootstrap, CatchUp, Era, Mirror, Relay, Routes, Snapshot, Topic, Version},
     },
-    toucanhoist_wire::steering::{self as wire, Reach, packet},
+    toucanhoist_wire::steering::packet,
 };
 
 use crate::{
     clock::Clock,
     journal::Journal,
-    peers,
+    peers::{self, Received},
     settings::Settings,
     steer,
     store::{Notification, Subscription},
@@ -62,16 +62,12 @@
 /// A message to the task.
 #[derive(Debug)]
 pub enum Input {
-    /// A message of another host's failure detector.
-    Detector(Message),
+    /// A message of another host that this task handles.
+    Packet(Received<packet::Body>),
     /// A notification from the store.
     Store(Notification),
     /// A snapshot from another host, with the time of the request; `None` if that failed.
     Snapshot(SocketAddr, Time, Option<Snapshot>),
-    /// A heartbeat of a watcher, with the versions up to which it knows the topics.
-    Heartbeat(SocketAddr, Reach),
-    /// Changes that a watcher broadcasts.
-    Changes(wire::Changes),
     /// Requests the entries that are newer than the given versions.
     SnapshotRequest(BTreeMap<Topic, Version>, oneshot::Sender<Snapshot>),
     /// The host shuts down.
@@ -314,17 +310,11 @@
     fn handle(&mut self, input: Input) {
         let now = self.parts.clock.now();
         match input {
-            Input::Detector(message) => {
-                self.compare_versions(now, &message);
-                let envelopes = self.detector.receive(now, message);
-                self.send(envelopes);
-            }
+            Input::Packet(received) => self.handle_packet(now, received),
             Input::Store(notification) => self.handle_notification(now, notification),
             Input::Snapshot(from, asked_at, snapshot) => {
                 self.handle_snapshot(now, from, asked_at, snapshot);
             }
-            Input::Heartbeat(from, reach) => self.handle_heartbeat(now, from, &reach),
-            Input::Changes(changes) => self.handle_changes(now, &changes),
             Input::SnapshotRequest(known, reply) => {
                 // The requester may have stopped waiting.
                 let _ = reply.send(self.mirror.snapshot(now, &known));
@@ -337,6 +327,31 @@
         }
     }
 
+    fn handle_packet(&mut self, now: Time, received: Received<packet::Body>) {
+        match received.message {
+            packet::Body::Membership(message) => match message.try_into() {
+                Ok(message) => self.handle_membership(now, message),
+                Err(_) => {
+                    metrics::counter!("toucanhoist_datagrams_malformed_total").increment(1);
+                }
+            },
+            packet::Body::Reach(reach) => self.handle_heartbeat(now, received.from, &reach),
+            packet::Body::Changes(changes) => self.handle_changes(now, &changes),
+            // The task that decides about requests handles these.
+            packet::Body::TokensAsk(_)
+            | packet::Body::TokensGiven(_)
+            | packet::Body::Suspicions(_)
+            | packet::Body::Requests(_)
+            | packet::Body::Limits(_) => {}
+        }
+    }
+
+    fn handle_membership(&mut self, now: Time, message: Message) {
+        self.compare_versions(now, &message);
+        let envelopes = self.detector.receive(now, message);
+        self.send(envelopes);
+    }
+
     fn send(&self, envelopes: Vec<membership::Envelope>) {
         for envelope in envelopes {
             self.parts.peers.send(envelope.to, packet::Body::Membership(envelope.message.into()));
--- a/toucanhoist-edge/src/host.rs
+++ b/toucanhoist-edge/src/host.rs
@@ -268,20 +268,17 @@
 /// Dispatches received datagrams to the tasks that handle them.
 async fn receive(datagrams: peers::Sender, fleet: fleet::Handle, steer: steer::Handle) {
     datagrams
-        .receive(move |from, body| match body {
-            packet::Body::Membership(message) => match message.try_into() {
-                Ok(message) => fleet.deliver(fleet::Input::Detector(message)),
-                Err(_) => {
-                    metrics::counter!("toucanhoist_datagrams_malformed_total").increment(1);
-                    true
+        .receive(move |received| {
+            let input = match &received.message {
+                packet::Body::Membership(_) | packet::Body::Reach(_) | packet::Body::Changes(_) => {
+                    fleet::Input::Packet(received)
                 }
-            },
-            packet::Body::Reach(reach) => fleet.deliver(fleet::Input::Heartbeat(from, reach)),
-            packet::Body::Changes(changes) => fleet.deliver(fleet::Input::Changes(changes)),
-            body => {
-                steer.send(steer::Input::Packet(from, body));
-                true
-            }
+                _ => {
+                    steer.send(steer::Input::Packet(received));
+                    return true;
+                }
+            };
+            fleet.deliver(input)
         })
         .await;
 }
--- a/toucanhoist-edge/src/peers.rs
+++ b/toucanhoist-edge/src/peers.rs
@@ -27,7 +27,10 @@
         task::JoinSet,
         time,
     },
-    toucanhoist_core::steering::{Snapshot, Topic, Version},
+    toucanhoist_core::{
+        memory::{Budget, Share},
+        steering::{Snapshot, Topic, Version},
+    },
     toucanhoist_store::socket,
     toucanhoist_wire::steering::{Packet, packet},
 };
@@ -41,6 +44,8 @@
 
 /// Size limit of a datagram.
 const DATAGRAM_BYTES_MAX: usize = 60_000;
+/// Bytes of datagrams that have been received and not handled yet. More are lost, as they may be in the network.
+const RECEIVED_BYTES_MAX: usize = 1 << 20;
 /// Path of the registry's snapshot.
 const SNAPSHOT_PATH: &str = "/registry";
 /// Size limit of a snapshot that is fetched, packed and unpacked. The registry of a large fleet has 64 and 640 KB, so
@@ -52,6 +57,16 @@
 /// Time-out for the head of a peer's request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// A message of another host, with its memory.
+#[derive(Debug)]
+pub struct Received<T> {
+    /// Address of the sender.
+    pub from: SocketAddr,
+    /// The message.
+    pub message: T,
+    _share: Share,
+}
+
 /// Sends datagrams.
 #[derive(Clone, Debug)]
 pub struct Sender {
@@ -144,8 +159,9 @@
         self.outbox.drain();
     }
 
-    /// Receives datagrams until `deliver` returns false.
-    pub async fn receive(self, mut deliver: impl FnMut(SocketAddr, packet::Body) -> bool) {
+    /// Receives datagrams until `deliver` returns false. Their memory is given back when their shares are dropped.
+    pub async fn receive(self, mut deliver: impl FnMut(Received<packet::Body>) -> bool) {
+        let budget = Budget::new(RECEIVED_BYTES_MAX);
         let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
         loop {
             let Ok((length, from)) = self.outbox.socket.recv_from(&mut buffer).await else {
@@ -153,10 +169,14 @@
                 time::sleep(Duration::from_millis(1)).await;
                 continue;
             };
+            let Some(share) = budget.take(length) else {
+                metrics::counter!("toucanhoist_datagrams_unread_total").increment(1);
+                continue;
+            };
             let body = Packet::decode(&buffer[..length]).ok().and_then(|packet| packet.body);
             match body {
-                Some(body) => {
-                    if !deliver(from, body) {
+                Some(message) => {
+                    if !deliver(Received { from, message, _share: share }) {
                         return;
                     }
                 }
--- a/toucanhoist-edge/src/steer.rs
+++ b/toucanhoist-edge/src/steer.rs
@@ -36,7 +36,8 @@
 use crate::{
     clock::Clock,
     journal::{Field, Journal},
-    peers, settings, target,
+    peers::{self, Received},
+    settings, target,
 };
 
 mod accounts;
@@ -73,7 +74,7 @@
     /// Entry hosts that have registered.
     Hosts(BTreeMap<id::EntryHost, EntryHost>),
     /// A datagram from another host.
-    Packet(SocketAddr, packet::Body),
+    Packet(Received<packet::Body>),
     /// A request needs a token of its account.
     Admit(id::Account, accounts::Reply),
     /// A request needs a target.
@@ -353,8 +354,9 @@
             if let Some(input) = input {
                 self.handle(now, input);
             }
-            // The queue is emptied before waiting requests are reconsidered.
-            while let Ok(input) = inputs.try_recv() {
+            // What has arrived is handled before waiting requests are reconsidered.
+            for _ in 0..inputs.len() {
+                let Ok(input) = inputs.try_recv() else { break };
                 self.handle(now, input);
             }
             if Instant::now() >= due {
@@ -426,7 +428,7 @@
                 self.set_region_peers();
                 self.set_shares(now);
             }
-            Input::Packet(from, body) => self.handle_packet(now, from, body),
+            Input::Packet(received) => self.handle_packet(now, received.from, received.message),
             Input::Admit(account, reply) => self.accounts.admit(now, &account, reply),
             Input::Place(pending) => self.place(now, *pending),
             Input::End(ticket, outcome) => {
