machine: hold a body of the largest size on the smallest machine

What callers saw: on a machine of 160 MB, the smallest that the users have (the grown sites), a body of more than 45 MB got 503 for ever, although the pages allow 64 MiB. The sum of the limits took 260 MB for the smallest machine, and left out what the kernel holds for a connection.

Cause: since the budget for bodies was a fraction of the memory, whatever the largest body is.

Change: the budget holds at least one body of the largest size with what is received of it meanwhile. Heads that are kept to be parsed ahead take 8 KB of a connection instead of 16, some thirty ordinary ones.

The sum test keeps its former inequality and gains that all together, with the process itself, fits into the machine.

--- a/toucanhoist-core/src/machine.rs
+++ b/toucanhoist-core/src/machine.rs
@@ -3,26 +3,58 @@
 
 A client decides how many connections it opens, how much it sends on each, and when it reads its answers. Each port
 has a number of connections of its own, so that one that is full takes nothing from the others, and callers together
-have one [budget](crate::memory) of bytes beyond the buffers that each connection has. All of these are fractions of
-what the machine has. docs/LIMITS.md adds them up.
+have one [budget](crate::memory) of bytes beyond the buffers that each connection has. The budget holds at least one
+body of the largest size; connections share what it and the process leave. docs/LIMITS.md adds them up.
 */
 
-/// Parts into which memory and descriptors are divided.
+/// Memory of a process without clients, with its log.
+const PROCESS_BYTES: usize = 28_000_000;
+/// Parts into which the memory, and the descriptors, are divided.
 const PARTS: usize = 64;
-/// Parts of the memory for the budget of callers; more than the largest body that the users' pages allow.
+/// Parts of the memory for the budget of callers.
 const HELD_PARTS: usize = 18;
-/// Parts of the descriptors for callers, for the directory, for each kind of check, for other hosts, for tunnels,
-/// and for targets. Connections of a use get half as many parts of the memory.
-const CALLERS_PARTS: usize = 34;
-const DIRECTORY_PARTS: usize = 4;
-const CHECKS_PARTS: usize = 1;
-const PEERS_PARTS: usize = 4;
-const TUNNELS_PARTS: usize = 8;
-const TARGETS_PARTS: usize = 8;
+/// Budget that holds a body of the largest size that the users' pages allow, 64 MiB, and what is received of it at the
+/// same time.
+const BODY_BYTES: usize = 71_000_000;
+/// Memory that a machine needs beside that budget.
+const BESIDE_BODY_BYTES: usize = 89_000_000;
+
+/// Memory of a connection of each kind: the buffers of the HTTP library, the task, and the kernel's buffers.
+const CALLER_BYTES: usize = 60 * 1_024;
+const SHORT_BYTES: usize = 52 * 1_024;
+const TUNNEL_BYTES: usize = 48 * 1_024;
+const TARGET_BYTES: usize = 32 * 1_024;
 /// Descriptors of one tunnel.
 const TUNNEL_DESCRIPTORS: usize = 2;
-/// Memory of one connection: the buffers of the HTTP library, and the task.
-pub const CONNECTION_BYTES: usize = 32 * 1_024;
+
+/// What connections of a kind get.
+#[derive(Clone, Copy, Debug)]
+struct Use {
+    /// Parts of the memory that is left for connections.
+    memory_parts: usize,
+    /// Parts of the descriptors.
+    descriptor_parts: usize,
+    /// Memory of one.
+    bytes: usize,
+    /// Descriptors of one.
+    descriptors: usize,
+}
+
+const CALLERS: Use =
+    Use { memory_parts: 48, descriptor_parts: 34, bytes: CALLER_BYTES, descriptors: 1 };
+const DIRECTORY: Use =
+    Use { memory_parts: 2, descriptor_parts: 4, bytes: SHORT_BYTES, descriptors: 1 };
+const CHECKS: Use =
+    Use { memory_parts: 1, descriptor_parts: 1, bytes: SHORT_BYTES, descriptors: 1 };
+const PEERS: Use = Use { memory_parts: 2, descriptor_parts: 4, bytes: SHORT_BYTES, descriptors: 1 };
+const TUNNELS: Use = Use {
+    memory_parts: 4,
+    descriptor_parts: 8,
+    bytes: TUNNEL_BYTES,
+    descriptors: TUNNEL_DESCRIPTORS,
+};
+const TARGETS: Use =
+    Use { memory_parts: 6, descriptor_parts: 8, bytes: TARGET_BYTES, descriptors: 1 };
 
 /// Resources of a machine that clients use up.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -62,21 +94,25 @@
 impl Machine {
     /// Shares out the machine.
     pub fn allotment(self) -> Allotment {
+        let held = (self.memory / PARTS * HELD_PARTS)
+            .max(BODY_BYTES.min(self.memory.saturating_sub(BESIDE_BODY_BYTES)));
+        let left = self.memory.saturating_sub(held + PROCESS_BYTES);
+        let connections = |share: Use| {
+            let by_memory = left / PARTS * share.memory_parts / share.bytes;
+            let by_descriptors =
+                self.descriptors * share.descriptor_parts / PARTS / share.descriptors;
+            by_memory.min(by_descriptors).max(1)
+        };
         Allotment {
-            callers: self.connections(CALLERS_PARTS),
-            directory: self.connections(DIRECTORY_PARTS),
-            checks: self.connections(CHECKS_PARTS),
-            peers: self.connections(PEERS_PARTS),
-            tunnels: (self.connections(TUNNELS_PARTS) / TUNNEL_DESCRIPTORS).max(1),
-            targets: self.connections(TARGETS_PARTS),
-            held: self.memory / PARTS * HELD_PARTS,
+            callers: connections(CALLERS),
+            directory: connections(DIRECTORY),
+            checks: connections(CHECKS),
+            peers: connections(PEERS),
+            tunnels: connections(TUNNELS),
+            targets: connections(TARGETS),
+            held,
         }
     }
-
-    fn connections(self, parts: usize) -> usize {
-        let memory = self.memory / PARTS * parts / 2;
-        (self.descriptors * parts / PARTS).min(memory / CONNECTION_BYTES).max(1)
-    }
 }
 
 impl Allotment {
@@ -86,8 +122,11 @@
         callers + directory + 2 * checks + peers + TUNNEL_DESCRIPTORS * tunnels + targets
     }
 
-    /// Returns the memory that all of it comes to.
+    /// Returns the memory that all of it comes to, with that of the process itself.
     pub fn bytes(&self) -> usize {
-        self.connections() * CONNECTION_BYTES + self.held
+        let Allotment { callers, directory, checks, peers, tunnels, targets, held } = *self;
+        let short = directory + 2 * checks + peers;
+        let connections = callers * CALLER_BYTES + short * SHORT_BYTES;
+        connections + tunnels * TUNNEL_BYTES + targets * TARGET_BYTES + held + PROCESS_BYTES
     }
 }
--- a/toucanhoist-edge/src/gateway/pipeline.rs
+++ b/toucanhoist-edge/src/gateway/pipeline.rs
@@ -40,7 +40,7 @@
 /// Pipelined requests that are parsed ahead; the others stay bytes until then.
 const WAITING_MAX: usize = 2 * EARLY_ANSWERS_MAX;
 /// Bytes of heads that are kept to be parsed. After more of them, no request of the connection starts early.
-const PENDING_BYTES_MAX: usize = 16 * 1_024;
+const PENDING_BYTES_MAX: usize = 8 * 1_024;
 /// End of a head: the end of its last line, and an empty line.
 const EMPTY_LINE: &[u8] = b"\n\r\n";
 /// Interval between checks for a disconnected caller; a fraction of the time within which its requests must
