edge: bound what the kernel holds for a connection

What callers saw: the machine ran out of memory while clients did not read their answers, or sent more behind a request. The process itself stayed small: the kernel held up to 3 MB for each connection.

Cause: the kernel receives up to 113 KB before a connection is accepted (seen), grows that with the speed of the client up to megabytes, and takes as much of answers that nobody reads.

Change: connections begin with a receive buffer of 4 KB. It grows with the body of a request that has been admitted, by fours up to 256 KB, out of the budget of bytes, and is small again afterwards; what lies behind the body then keeps its share. A size that is fixed on the listener would bind the window for good, so the lock is taken off again (Linux 5.14; a warning at the start where it is refused). Of answers the kernel takes more only while less than 4 KB are unsent; as it goes on to fill a segment of 64 KB by itself, that is asked every 8 KB.

Why it works: a receive buffer is a hard limit for the kernel, and what is unsent is asked before more is written.

--- a/toucanhoist-edge/src/gateway.rs
+++ b/toucanhoist-edge/src/gateway.rs
@@ -31,6 +31,7 @@
     server,
     settings::Settings,
     steer, target,
+    window::Receiver,
 };
 
 mod answer;
@@ -119,15 +120,21 @@
 }
 
 async fn connection(stream: TcpStream, slot: Arc<Slot>, shared: Arc<Shared>) {
-    if let Err(error) = socket::configure(&stream) {
-        shared.journal.note(Event::AcceptFailed, &[("error", &error)]);
-        return;
-    }
+    let socket = Arc::new(stream);
+    let bounded =
+        socket::configure(&socket).and_then(|()| socket::Stream::new(Arc::clone(&socket)));
+    let stream = match bounded {
+        Ok(stream) => stream,
+        Err(error) => {
+            shared.journal.note(Event::AcceptFailed, &[("error", &error)]);
+            return;
+        }
+    };
     let limits = shared.limits();
     let mut phase = shared.phase.clone();
     let pipeline = request::pipeline(&shared, &slot);
-    let socket = Arc::new(stream);
-    let stream = pipeline::Stream::new(Arc::clone(&socket), Arc::clone(&pipeline));
+    let receiver = Receiver::new(Arc::clone(&socket), Arc::clone(&shared.memory));
+    let stream = pipeline::Stream::new(stream, Arc::clone(&pipeline));
     let service = service_fn(|mut request| {
         // Taken when the head has been read: the library may keep it for long before it polls the future.
         let share = request::take_head_share(&shared, &request);
@@ -136,8 +143,9 @@
         }
         let (shared, pipeline, slot) =
             (Arc::clone(&shared), Arc::clone(&pipeline), Arc::clone(&slot));
+        let window = receiver.open();
         async move {
-            let answer = request::handle(&shared, &pipeline, &slot, share, request).await;
+            let answer = request::handle(&shared, &pipeline, &slot, share, window, request).await;
             Ok::<_, Infallible>(answer)
         }
     });
--- a/toucanhoist-edge/src/gateway/pipeline.rs
+++ b/toucanhoist-edge/src/gateway/pipeline.rs
@@ -11,7 +11,6 @@
 use std::{
     collections::VecDeque,
     io,
-    net::Shutdown,
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard},
     task::{Context, Poll, ready},
@@ -21,7 +20,6 @@
 use {
     bytes::{Buf, BytesMut},
     http::{HeaderName, HeaderValue, Method, Request, Response, Version, header, request::Parts},
-    socket2::SockRef,
     tokio::{
         io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
         net::TcpStream,
@@ -29,6 +27,7 @@
         task::JoinHandle,
         time::{self, Instant},
     },
+    toucanhoist_store::socket,
 };
 
 use super::answer::Body;
@@ -297,12 +296,12 @@
 
 /// A caller's stream that shows its bytes to a [`Pipeline`] as they are read.
 pub(super) struct Stream {
-    stream: Arc<TcpStream>,
+    stream: socket::Stream,
     pipeline: Arc<Pipeline>,
 }
 
 impl Stream {
-    pub(super) fn new(stream: Arc<TcpStream>, pipeline: Arc<Pipeline>) -> Stream {
+    pub(super) fn new(stream: socket::Stream, pipeline: Arc<Pipeline>) -> Stream {
         Stream { stream, pipeline }
     }
 }
@@ -325,68 +324,43 @@
 
 impl AsyncRead for Stream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.stream.poll_read_ready(context))?;
-            match self.stream.try_read(buffer.initialize_unfilled()) {
-                Ok(length) => {
-                    self.pipeline.observe(&buffer.initialize_unfilled()[..length]);
-                    buffer.advance(length);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
-        }
-    }
-}
-
-impl Stream {
-    fn poll_write_with(
-        &self,
-        context: &mut Context<'_>,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(context))?;
-            match write(&self.stream) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        self.pipeline.observe(&buffer.filled()[before..]);
+        Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for Stream {
     fn poll_write(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         content: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.poll_write_with(context, |stream| stream.try_write(content))
+        Pin::new(&mut self.stream).poll_write(context, content)
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         contents: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.poll_write_with(context, |stream| stream.try_write_vectored(contents))
+        Pin::new(&mut self.stream).poll_write_vectored(context, contents)
     }
 
     fn is_write_vectored(&self) -> bool {
-        true
+        self.stream.is_write_vectored()
     }
 
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        // The kernel sends what was written; nothing is buffered here.
-        Poll::Ready(Ok(()))
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
--- a/toucanhoist-edge/src/gateway/request.rs
+++ b/toucanhoist-edge/src/gateway/request.rs
@@ -27,6 +27,7 @@
 use crate::{
     connections::Slot,
     held::{Collector, Content},
+    window::Window,
 };
 
 /// Time-out of a request whose caller states none, on a route without one.
@@ -73,6 +74,12 @@
     pub deadline: Instant,
 }
 
+/// The body of a request that is being read.
+struct Upload {
+    content: Incoming,
+    window: Window,
+}
+
 /// Memory of a request's head; `None` if the budget had no room for it.
 pub(super) type HeadShare = Option<Option<Share>>;
 
@@ -117,16 +124,20 @@
     pipeline: &Pipeline,
     slot: &Arc<Slot>,
     head_share: HeadShare,
+    window: Window,
     request: Request<Incoming>,
 ) -> Response<Body> {
-    let (head, body) = request.into_parts();
+    let (head, content) = request.into_parts();
     let mut response = match pipeline.take(&head) {
         Some(early) => early.answer().await.unwrap_or_else(|| {
             let refusal =
                 Refusal::may_have_run(Code::TargetFailed, "the task of the request failed");
             answer::of_refusal(&identifier(shared, &head.headers), &refusal, &shared.dialect)
         }),
-        None => respond(shared, slot, head, head_share, Some(body)).await,
+        None => {
+            let upload = Upload { content, window };
+            respond(shared, slot, head, head_share, Some(upload)).await
+        }
     };
     pipeline.finish();
     response.body_mut().watch(pipeline.overdue());
@@ -143,16 +154,17 @@
     slot: &Arc<Slot>,
     head: Parts,
     head_share: HeadShare,
-    mut body: Option<Incoming>,
+    mut upload: Option<Upload>,
 ) -> Response<Body> {
     let arrived = Instant::now();
     let id = identifier(shared, &head.headers);
     let mut guard = AbandonGuard { shared, id: &id, arrived, is_armed: true };
     let is_discarded = !head.headers.contains_key(header::EXPECT);
-    let outcome = process(shared, slot, &id, arrived, head, head_share, &mut body).await;
+    let outcome = process(shared, slot, &id, arrived, head, head_share, &mut upload).await;
     guard.is_armed = false;
-    if let Some(body) = body.filter(|body| is_discarded && !body.is_end_stream()) {
-        tokio::spawn(discard(body, shared.limits().body_bytes));
+    let rest = upload.map(|upload| upload.content).filter(|rest| !rest.is_end_stream());
+    if let Some(rest) = rest.filter(|_| is_discarded) {
+        tokio::spawn(discard(rest, shared.limits().body_bytes));
     }
     match outcome {
         Ok(response) => response,
@@ -201,7 +213,7 @@
     arrived: Instant,
     head: Parts,
     head_share: HeadShare,
-    body: &mut Option<Incoming>,
+    upload: &mut Option<Upload>,
 ) -> Result<Response<Body>, Refusal> {
     let _head_share = head_share.ok_or_else(memory_used_up)?;
     let Some(routes) = shared.fleet.routes() else {
@@ -212,10 +224,10 @@
     if let Some(account) = admitted.account.as_ref().filter(|account| account.rate > 0.0) {
         take_token(shared, account, admitted.deadline).await?;
     }
-    if let Some(body) = body {
-        admitted.body = read(shared, body, &admitted).await?;
+    if let Some(upload) = upload {
+        admitted.body = read(shared, upload, &admitted).await?;
     }
-    *body = None;
+    *upload = None;
     admitted.fingerprint = fingerprint(&admitted);
     // From here on, a target may have the request.
     let busy = slot.begin().ok_or_else(|| {
@@ -359,7 +371,7 @@
 /// Reads the body of a request, which must arrive before its deadline.
 async fn read(
     shared: &Shared,
-    body: &mut Incoming,
+    upload: &mut Upload,
     request: &Admitted,
 ) -> Result<Content, Refusal> {
     let limit = shared.limits().body_bytes;
@@ -372,7 +384,8 @@
     }
     let mut content = Collector::new(&shared.memory, stated);
     loop {
-        let frame = time::timeout_at(request.deadline, body.frame()).await.map_err(|_| {
+        let frame = upload.content.frame();
+        let frame = time::timeout_at(request.deadline, frame).await.map_err(|_| {
             Refusal::not_run(Code::NoRoom, "the body did not arrive before the request's deadline")
         })?;
         let Some(frame) = frame else { return Ok(content.finish()) };
@@ -384,6 +397,7 @@
             return Err(too_large());
         }
         content.push(&chunk).map_err(|_| memory_used_up())?;
+        upload.window.grow(content.length());
     }
 }
 
--- a/toucanhoist-edge/src/lib.rs
+++ b/toucanhoist-edge/src/lib.rs
@@ -37,3 +37,4 @@
 pub mod steer;
 pub mod store;
 pub mod target;
+pub mod window;
--- a/toucanhoist-edge/src/server.rs
+++ b/toucanhoist-edge/src/server.rs
@@ -8,10 +8,7 @@
     http_body_util::Full,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    tokio::{
-        net::{TcpListener, TcpStream},
-        time,
-    },
+    tokio::{net::TcpListener, time},
     toucanhoist_store::socket,
 };
 
@@ -53,9 +50,11 @@
         };
         // A client that is gone without a word would keep its connection, and a tunnel, for good. One that has
         // ended its connection already needs no answer.
-        if socket::configure(&stream).is_err() {
+        let Ok(stream) =
+            socket::configure(&stream).and_then(|()| socket::Stream::new(stream.into()))
+        else {
             continue;
-        }
+        };
         let slot = port.admit(|event, fields| journal.note(event, fields)).await;
         if let Some(slot) = slot {
             tokio::spawn(connection(stream, slot, head_timeout, answer.clone()));
@@ -64,7 +63,7 @@
 }
 
 async fn connection<F>(
-    stream: TcpStream,
+    stream: socket::Stream,
     slot: Arc<Slot>,
     head_timeout: Duration,
     answer: impl Fn(Request<Incoming>) -> F + Send + Sync + 'static,
--- a/toucanhoist-store/src/socket.rs
+++ b/toucanhoist-store/src/socket.rs
@@ -14,6 +14,10 @@
     },
 };
 
+mod bounded;
+
+pub use self::bounded::{RECEIVE_BYTES, Stream};
+
 /// Idle time before the first keepalive probe, and time between probes; the system counts them in
 /// whole seconds.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -23,7 +27,7 @@
 /// keepalive probes give up, whatever their number, so the two agree.
 const USER_TIMEOUT: Duration = KEEPALIVE_INTERVAL.saturating_mul(1 + KEEPALIVE_RETRIES);
 
-/// Binds a listener. An error names the address.
+/// Binds a listener whose connections begin with a small receive buffer. An error names the address.
 ///
 /// # Errors
 ///
@@ -31,7 +35,14 @@
 pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let with_address =
         |error: io::Error| io::Error::new(error.kind(), format!("{address}: {error}"));
-    TcpListener::bind(address).await.map_err(with_address)
+    let listener = TcpListener::bind(address).await.map_err(with_address)?;
+    if let Err(error) = bounded::bound_new_connections(&listener) {
+        log::warn!(
+            target: "toucanhoist",
+            "{address}: connections begin with the system's receive buffer: {error}"
+        );
+    }
+    Ok(listener)
 }
 
 /// Connects within `timeout`.
