edge: refuse heads with more fields than the HTTP library holds

What callers saw: with a `maxHeaderBytes` of 98 KB or more, a head of many short fields got no answer: its connection's task panicked.

Cause: as many of the shortest fields are allowed as fit into the limit, and the library's map of fields panics above 24,576.

Change: no more than that are allowed, whatever the configuration says.

--- a/toucanhoist-edge/src/gateway.rs
+++ b/toucanhoist-edge/src/gateway.rs
@@ -47,6 +47,8 @@
 const BUFFER_BYTES_MIN: usize = 8 * 1_024;
 /// Bytes of the shortest header field.
 const FIELD_BYTES_MIN: usize = 4;
+/// Fields that the HTTP library's map holds; it panics on more.
+const FIELDS_MAX: usize = 24_576;
 
 /// Interval between checks whether a connection has sent all early answers, so that it can close.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -155,7 +157,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time.max(limits.header_time) + TIME_MARGIN)
         .max_header_size(head_bytes)
-        .max_headers(limits.header_bytes / FIELD_BYTES_MIN)
+        .max_headers((limits.header_bytes / FIELD_BYTES_MIN).min(FIELDS_MAX))
         .max_buf_size(head_bytes.max(BUFFER_BYTES_MIN));
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     tokio::select! {
