--- a/toucanhoist-core/src/machine.rs
+++ b/toucanhoist-core/src/machine.rs
@@ -8,11 +8,13 @@
 */
 
 /// Memory of a process without clients, with its log.
-const PROCESS_BYTES: usize = 28_000_000;
+const PROCESS_BYTES: usize = 26_000_000;
 /// Parts into which the memory, and the descriptors, are divided.
 const PARTS: usize = 64;
 /// Parts of the memory for the budget of callers.
-const HELD_PARTS: usize = 18;
+const HELD_PARTS: usize = 17;
+/// Parts of the memory for snapshots that are being sent to other hosts.
+const SNAPSHOTS_PARTS: usize = 1;
 /// Budget that holds a body of the largest size that the users' pages allow, 64 MiB, and what is received of it at the
 /// same time.
 const BODY_BYTES: usize = 71_000_000;
@@ -22,7 +24,8 @@
 /// Memory of a connection of each kind: the buffers of the HTTP library, the task, and the kernel's buffers.
 const CALLER_BYTES: usize = 60 * 1_024;
 const SHORT_BYTES: usize = 52 * 1_024;
-const TUNNEL_BYTES: usize = 48 * 1_024;
+const PEER_BYTES: usize = 40 * 1_024;
+const TUNNEL_BYTES: usize = 72 * 1_024;
 const TARGET_BYTES: usize = 32 * 1_024;
 /// Descriptors of one tunnel.
 const TUNNEL_DESCRIPTORS: usize = 2;
@@ -41,12 +44,12 @@
 }
 
 const CALLERS: Use =
-    Use { memory_parts: 48, descriptor_parts: 34, bytes: CALLER_BYTES, descriptors: 1 };
+    Use { memory_parts: 47, descriptor_parts: 34, bytes: CALLER_BYTES, descriptors: 1 };
 const DIRECTORY: Use =
     Use { memory_parts: 2, descriptor_parts: 4, bytes: SHORT_BYTES, descriptors: 1 };
 const CHECKS: Use =
     Use { memory_parts: 1, descriptor_parts: 1, bytes: SHORT_BYTES, descriptors: 1 };
-const PEERS: Use = Use { memory_parts: 2, descriptor_parts: 4, bytes: SHORT_BYTES, descriptors: 1 };
+const PEERS: Use = Use { memory_parts: 3, descriptor_parts: 4, bytes: PEER_BYTES, descriptors: 1 };
 const TUNNELS: Use = Use {
     memory_parts: 4,
     descriptor_parts: 8,
@@ -89,6 +92,8 @@
     pub targets: usize,
     /// Bytes of requests and answers beyond the buffers of connections.
     pub held: usize,
+    /// Bytes of snapshots that are being sent to other hosts.
+    pub snapshots: usize,
 }
 
 impl Machine {
@@ -96,7 +101,8 @@
     pub fn allotment(self) -> Allotment {
         let held = (self.memory / PARTS * HELD_PARTS)
             .max(BODY_BYTES.min(self.memory.saturating_sub(BESIDE_BODY_BYTES)));
-        let left = self.memory.saturating_sub(held + PROCESS_BYTES);
+        let snapshots = self.memory / PARTS * SNAPSHOTS_PARTS;
+        let left = self.memory.saturating_sub(held + snapshots + PROCESS_BYTES);
         let connections = |share: Use| {
             let by_memory = left / PARTS * share.memory_parts / share.bytes;
             let by_descriptors =
@@ -111,6 +117,7 @@
             tunnels: connections(TUNNELS),
             targets: connections(TARGETS),
             held,
+            snapshots,
         }
     }
 }
@@ -124,9 +131,10 @@
 
     /// Returns the memory that all of it comes to, with that of the process itself.
     pub fn bytes(&self) -> usize {
-        let Allotment { callers, directory, checks, peers, tunnels, targets, held } = *self;
-        let short = directory + 2 * checks + peers;
-        let connections = callers * CALLER_BYTES + short * SHORT_BYTES;
-        connections + tunnels * TUNNEL_BYTES + targets * TARGET_BYTES + held + PROCESS_BYTES
+        let Allotment { callers, directory, checks, peers, tunnels, targets, held, snapshots } =
+            *self;
+        let of_clients = callers * CALLER_BYTES + (directory + 2 * checks) * SHORT_BYTES;
+        let of_hosts = peers * PEER_BYTES + tunnels * TUNNEL_BYTES;
+        of_clients + of_hosts + targets * TARGET_BYTES + held + snapshots + PROCESS_BYTES
     }
 }
--- a/toucanhoist-edge/src/directory.rs
+++ b/toucanhoist-edge/src/directory.rs
@@ -26,8 +26,9 @@
 const TTL_MAX: Duration = Duration::from_secs(2);
 /// Addresses in one answer.
 const ADDRESSES_MAX: usize = 64;
-/// Time-out for the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Limits of requests. Heads of callers stay below these by default.
+const LIMITS: server::Limits =
+    server::Limits { head_bytes: 20 * 1_024, head_timeout: Duration::from_secs(5) };
 
 /// Serves the directory.
 pub async fn serve(listener: TcpListener, port: Arc<Port>, shared: Arc<Shared>) {
@@ -60,7 +61,7 @@
     answer: impl Fn(&Request<Incoming>) -> server::Answer + Clone + Send + Sync + 'static,
 ) {
     let answer = move |request| future::ready(answer(&request));
-    server::serve(listener, port, journal, HEAD_TIMEOUT, answer).await;
+    server::serve(listener, port, journal, LIMITS, answer).await;
 }
 
 /// Whether a host accepts new callers.
--- a/toucanhoist-edge/src/host.rs
+++ b/toucanhoist-edge/src/host.rs
@@ -124,7 +124,7 @@
             listeners.peers,
             Port::new("peers", allotment.peers),
             Arc::clone(&journal),
-            fleet.clone(),
+            peers::Snapshots::new(fleet.clone(), allotment.snapshots),
             tunnels.clone(),
         ));
         let shared = Arc::new(Shared {
--- a/toucanhoist-edge/src/peers.rs
+++ b/toucanhoist-edge/src/peers.rs
@@ -23,7 +23,7 @@
     prost::Message as _,
     tokio::{
         net::{TcpListener, UdpSocket},
-        sync::Notify,
+        sync::{Mutex as AsyncMutex, Notify},
         task::JoinSet,
         time,
     },
@@ -35,7 +35,7 @@
     toucanhoist_wire::steering::{Packet, packet},
 };
 
-use crate::{connections::Port, fleet, journal::Journal, packing, server};
+use crate::{connections::Port, fleet, held, journal::Journal, packing, server};
 
 mod backlog;
 pub mod tunnel;
@@ -54,8 +54,9 @@
 const SNAPSHOT_UNPACKED_BYTES_MAX: u64 = 16 << 20;
 /// Time-out for fetching a snapshot.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time-out for the head of a peer's request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Limits of a peer's requests.
+const LIMITS: server::Limits =
+    server::Limits { head_bytes: 8 * 1_024, head_timeout: Duration::from_secs(2) };
 
 /// A message of another host, with its memory.
 #[derive(Debug)]
@@ -197,15 +198,15 @@
     listener: TcpListener,
     port: Arc<Port>,
     journal: Arc<Journal>,
-    fleet: fleet::Handle,
+    snapshots: Snapshots,
     tunnels: Tunnels,
 ) {
-    let answer = move |request| answer(fleet.clone(), tunnels.clone(), request);
-    server::serve(listener, port, journal, HEAD_TIMEOUT, answer).await;
+    let answer = move |request| answer(snapshots.clone(), tunnels.clone(), request);
+    server::serve(listener, port, journal, LIMITS, answer).await;
 }
 
 async fn answer(
-    fleet: fleet::Handle,
+    snapshots: Snapshots,
     tunnels: Tunnels,
     request: Request<hyper::body::Incoming>,
 ) -> server::Answer {
@@ -216,9 +217,36 @@
         return server::empty(StatusCode::NOT_FOUND);
     }
     let known = request.uri().query().map(parse_versions).unwrap_or_default();
-    match fleet.newer_than(known).await.map(|snapshot| packing::pack(&snapshot)) {
-        Some(Ok(content)) => Response::new(Full::new(content.into())),
-        _ => server::empty(StatusCode::SERVICE_UNAVAILABLE),
+    match snapshots.pack(known).await {
+        Some(content) => Response::new(Full::new(content)),
+        None => server::empty(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+/// Snapshots of the registry for other hosts, which share a budget until they have been sent.
+#[derive(Clone, Debug)]
+pub struct Snapshots {
+    fleet: fleet::Handle,
+    budget: Arc<Budget>,
+    /// Bytes of the budget.
+    max: usize,
+    /// Held while a snapshot is made, which takes a multiple of its size.
+    turn: Arc<AsyncMutex<()>>,
+}
+
+impl Snapshots {
+    /// Creates the snapshots of a host, of which at most `max` bytes are being sent at the same time, or one.
+    pub fn new(fleet: fleet::Handle, max: usize) -> Snapshots {
+        Snapshots { fleet, budget: Budget::new(max), max, turn: Arc::default() }
+    }
+
+    /// Returns the packed entries beyond the `known` versions; `None` if there is no room for them.
+    async fn pack(&self, known: BTreeMap<Topic, Version>) -> Option<Bytes> {
+        let _turn = self.turn.lock().await;
+        let snapshot = self.fleet.newer_than(known).await?;
+        let content = packing::pack(&snapshot).ok()?;
+        let share = self.budget.take(content.len().min(self.max))?;
+        Some(held::with_share(content.into(), share))
     }
 }
 
--- a/toucanhoist-edge/src/peers/tunnel.rs
+++ b/toucanhoist-edge/src/peers/tunnel.rs
@@ -15,6 +15,7 @@
     http_body_util::Empty,
     hyper::{body::Incoming, client::conn::http1, upgrade, upgrade::Upgraded},
     hyper_util::rt::TokioIo,
+    socket2::SockRef,
     tokio::{
         io::{self, AsyncWriteExt},
         net::TcpStream,
@@ -41,6 +42,8 @@
 /// Time for which the rest of a request is read after its answer has ended, as closing a connection with
 /// unread bytes resets it and may discard the answer.
 const DRAIN_TIME: Duration = Duration::from_millis(500);
+/// Receive buffer of the connection to the other host, whose requests may have bodies.
+const RECEIVE_BYTES: usize = 16 * 1_024;
 /// Header of a request with the target that is expected at the address.
 const TARGET: HeaderName = HeaderName::from_static("toucanhoist-target");
 /// Header of a refusal with its reason.
@@ -109,6 +112,10 @@
     pub(super) async fn answer(self, request: Request<Incoming>) -> server::Answer {
         match self.connect(&request).await {
             Ok((stream, permit)) => {
+                if let Some(socket) = request.extensions().get::<Arc<TcpStream>>() {
+                    // Bodies arrive more slowly if the system refuses the size.
+                    let _ = SockRef::from(&**socket).set_recv_buffer_size(RECEIVE_BYTES);
+                }
                 tokio::spawn(async move {
                     // If the other host is gone, there is nobody to carry bytes for.
                     if let Ok(upgraded) = upgrade::on(request).await {
--- a/toucanhoist-edge/src/server.rs
+++ b/toucanhoist-edge/src/server.rs
@@ -20,8 +20,14 @@
 /// Pause after a failed `accept`, usually for lack of file descriptors.
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Bytes of a request's head; those of callers stay below it by default.
-const HEAD_BYTES_MAX: usize = 20 * 1_024;
+/// Limits of a port's requests.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limits {
+    /// Bytes of a head.
+    pub(crate) head_bytes: usize,
+    /// Time within which a head must be complete.
+    pub(crate) head_timeout: Duration,
+}
 
 /// An answer whose body is in memory.
 pub(crate) type Answer = Response<Full<Bytes>>;
@@ -33,12 +39,12 @@
     answer
 }
 
-/// Serves requests whose heads are complete within `head_timeout`, for as long as the process runs.
+/// Serves requests for as long as the process runs. A request has its connection's socket among its extensions.
 pub(crate) async fn serve<F>(
     listener: TcpListener,
     port: Arc<Port>,
     journal: Arc<Journal>,
-    head_timeout: Duration,
+    limits: Limits,
     answer: impl Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
 ) where
     F: Future<Output = Answer> + Send + 'static,
@@ -57,7 +63,7 @@
         };
         let slot = port.admit(|event, fields| journal.note(event, fields)).await;
         if let Some(slot) = slot {
-            tokio::spawn(connection(stream, slot, head_timeout, answer.clone()));
+            tokio::spawn(connection(stream, slot, limits, answer.clone()));
         }
     }
 }
@@ -65,13 +71,15 @@
 async fn connection<F>(
     stream: socket::Stream,
     slot: Arc<Slot>,
-    head_timeout: Duration,
+    limits: Limits,
     answer: impl Fn(Request<Incoming>) -> F + Send + Sync + 'static,
 ) where
     F: Future<Output = Answer> + Send + 'static,
 {
-    let service = service_fn(|request| {
+    let socket = Arc::clone(stream.socket());
+    let service = service_fn(|mut request: Request<Incoming>| {
         let busy = slot.begin();
+        request.extensions_mut().insert(Arc::clone(&socket));
         let answer = answer(request);
         async move {
             // The connection is closed already to make room for another.
@@ -83,9 +91,9 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(head_timeout)
-        .max_header_size(HEAD_BYTES_MAX)
-        .max_buf_size(HEAD_BYTES_MAX)
+        .header_read_timeout(limits.head_timeout)
+        .max_header_size(limits.head_bytes)
+        .max_buf_size(limits.head_bytes)
         .serve_connection(TokioIo::new(stream), service)
         .with_upgrades();
     tokio::select! {
