serve: bound connections to targets, and the heads that come on them

What callers saw: no descriptor was left for the platform, other hosts and further callers while many requests waited for targets, or targets sent heads without end.

Cause: each request opened a connection when none was idle, up to 64 idle ones were kept for each target, and the HTTP library's default held: some 400 KB of a head.

Change: `machine` in the settings gives a number of connections to all targets together. When they are open, an idle one is closed for a new one, and if none is idle the request is refused at once as not run, with a time to come back. A head has at most 32 KB.

Why it works: a permit belongs to the connection until it is closed, so idle ones count too.

--- a/src/host.rs
+++ b/src/host.rs
@@ -215,7 +215,7 @@
             room: room::spawn(context.clone(), fleet.clone(), peers.clone()),
             submissions: submissions::spawn(context.clone(), fleet.clone()),
             peers,
-            targets: target::spawn(),
+            targets: target::spawn(context.settings.machine.allotment().targets),
             fleet,
         }
     }
--- a/src/host/target.rs
+++ b/src/host/target.rs
@@ -1,14 +1,17 @@
 //! Pool of HTTP connections to targets.
 //!
 //! One task owns the idle connections. A connection returns to the pool only after its answer was
-//! read to the end; after a failure, a timeout or a cancellation it is closed.
+//! read to the end; after a failure, a timeout or a cancellation it is closed. The number of connections is limited:
+//! an idle one is closed for a new one, and a request for which there is none is refused.
 
 use std::{
     collections::HashMap,
     io,
     net::SocketAddr,
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use {
@@ -19,7 +22,7 @@
     hyper_util::rt::TokioIo,
     tokio::{
         net::TcpStream,
-        sync::{mpsc, oneshot},
+        sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot},
         time::{self, Instant},
     },
     toucanhoist_core::refusal::{Code, Refusal},
@@ -32,6 +35,10 @@
 mod gate;
 
 const QUEUE_MESSAGES: usize = 1_024;
+/// Largest head of a target's answer.
+const HEAD_MAX_BYTES: usize = 32 * 1_024;
+/// `Retry-After` of a host that has no connection to targets left.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Idle connections that are kept for one target.
 const IDLE_MAX: usize = 64;
 
@@ -47,12 +54,16 @@
 pub struct Handle {
     take: mpsc::Sender<Take>,
     put_back: mpsc::UnboundedSender<(SocketAddr, Connection)>,
+    /// Permits of open connections.
+    permits: Arc<Semaphore>,
 }
 
 /// Asks the pool for an idle connection.
-struct Take {
-    address: SocketAddr,
-    reply: oneshot::Sender<Option<Connection>>,
+enum Take {
+    /// One to a target, to be used.
+    To(SocketAddr, oneshot::Sender<Option<Connection>>),
+    /// One to any target, to be closed.
+    Any(oneshot::Sender<Option<Connection>>),
 }
 
 /// A connection in use. It is closed when dropped, unless it was put back into the pool.
@@ -86,8 +97,7 @@
     ) -> Result<Answer, Refusal> {
         let connecting = time::timeout_at(head.deadline, self.connect(address, head)).await;
         let mut connection = match connecting {
-            Ok(Ok(connection)) => connection,
-            Ok(Err(error)) => return Err(unreachable(error)),
+            Ok(connection) => connection?,
             Err(_) => return Err(Refusal::not_run(Code::DeadlineExceeded, "connect timed out")),
         };
         let Some(body) = payload.take() else {
@@ -136,33 +146,57 @@
     ///
     /// A request that is not repeatable always gets a new connection: the target may close an idle
     /// one while the request is being sent, and whether the request ran would then be unknown.
-    async fn connect(&self, address: SocketAddr, head: &Head) -> io::Result<Connection> {
+    async fn connect(&self, address: SocketAddr, head: &Head) -> Result<Connection, Refusal> {
         if head.repeatable {
-            if let Some(connection) = self.idle(address).await {
+            if let Some(connection) = self.idle(|reply| Take::To(address, reply)).await {
                 return Ok(connection);
             }
         }
-        let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
-        let gate = Gate::new();
-        let stream = Gated::new(stream, gate.clone());
-        let (sender, driver) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-        tokio::spawn(async move {
-            if let Err(error) = driver.await {
-                log::debug!(target: "toucanhoist", "connection to {address} ended: {error}");
-            }
-        });
-        Ok(Connection { sender, gate })
+        let permit = self.permit().await.ok_or_else(|| {
+            Refusal::not_run(Code::NoRoom, "all connections to targets are in use")
+                .retry_after(FULL_RETRY_AFTER)
+        })?;
+        open(address, permit).await.map_err(unreachable)
+    }
+
+    /// Takes a permit to open a connection, for which an idle one may have to be closed; `None` if all are in use.
+    async fn permit(&self) -> Option<OwnedSemaphorePermit> {
+        let permits = Arc::clone(&self.permits);
+        if let Ok(permit) = Arc::clone(&permits).try_acquire_owned() {
+            return Some(permit);
+        }
+        drop(self.idle(Take::Any).await?);
+        permits.acquire_owned().await.ok()
     }
 
-    async fn idle(&self, address: SocketAddr) -> Option<Connection> {
+    async fn idle(
+        &self,
+        take: impl FnOnce(oneshot::Sender<Option<Connection>>) -> Take,
+    ) -> Option<Connection> {
         let (reply, connection) = oneshot::channel();
-        self.take.send(Take { address, reply }).await.ok()?;
+        self.take.send(take(reply)).await.ok()?;
         connection.await.ok()?
     }
 }
 
+/// Opens a connection, which has a permit until it is closed.
+async fn open(address: SocketAddr, permit: OwnedSemaphorePermit) -> io::Result<Connection> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let gate = Gate::new();
+    let stream = TokioIo::new(Gated::new(stream, gate.clone()));
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(HEAD_MAX_BYTES);
+    let (sender, driver) = builder.handshake(stream).await.map_err(io::Error::other)?;
+    tokio::spawn(async move {
+        if let Err(error) = driver.await {
+            log::debug!(target: "toucanhoist", "connection to {address} ended: {error}");
+        }
+        drop(permit);
+    });
+    Ok(Connection { sender, gate })
+}
+
 fn request(address: SocketAddr, head: &Head, body: Body) -> Result<Request<Body>, Refusal> {
     let mut request = Request::builder()
         .method(head.method.clone())
@@ -247,12 +281,12 @@
     answer
 }
 
-/// Spawns the task.
-pub fn spawn() -> Handle {
+/// Spawns the task; at most `max` connections are open at the same time.
+pub fn spawn(max: usize) -> Handle {
     let (take, takes) = mpsc::channel(QUEUE_MESSAGES);
     let (put_back, returns) = mpsc::unbounded_channel();
     tokio::spawn(run(takes, returns));
-    Handle { take, put_back }
+    Handle { take, put_back, permits: Arc::new(Semaphore::new(max)) }
 }
 
 async fn run(
@@ -269,12 +303,20 @@
                     connections.push(connection);
                 }
             }
-            take = takes.recv() => {
-                let Some(Take { address, reply }) = take else { return };
-                let connections = idle.entry(address).or_default();
-                connections.retain(|connection| !connection.sender.is_closed());
-                let ready = connections.iter().rposition(|connection| connection.sender.is_ready());
-                let _ = reply.send(ready.map(|index| connections.swap_remove(index)));
+            take = takes.recv() => match take {
+                None => return,
+                // A request that was dropped meanwhile drops its connection too.
+                Some(Take::To(address, reply)) => {
+                    let connections = idle.entry(address).or_default();
+                    connections.retain(|connection| !connection.sender.is_closed());
+                    let ready =
+                        connections.iter().rposition(|connection| connection.sender.is_ready());
+                    let _ = reply.send(ready.map(|index| connections.swap_remove(index)));
+                }
+                Some(Take::Any(reply)) => {
+                    let most = idle.values_mut().max_by_key(|connections| connections.len());
+                    let _ = reply.send(most.and_then(Vec::pop));
+                }
             }
         }
     }
--- a/tests/target.rs
+++ b/tests/target.rs
@@ -30,6 +30,9 @@
 const FIRST: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst";
 const SECOND: &str = "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nsecond";
 
+/// Connections that a handle may have open.
+const CONNECTIONS_MAX: usize = 16;
+
 /// Starts a target that sends `answers` in turn, one for each request, and reports the connection
 /// on which each request arrived.
 async fn target(answers: &'static [&'static str]) -> (SocketAddr, mpsc::UnboundedReceiver<usize>) {
@@ -104,7 +107,7 @@
 #[tokio::test]
 async fn a_complete_answer_leaves_the_connection_open() {
     let (address, mut connections) = target(&[FIRST, SECOND]).await;
-    let handle = target::spawn();
+    let handle = target::spawn(CONNECTIONS_MAX);
     for _ in 0..2 {
         run(&handle, address, &head(short_deadline(), true))
             .await
@@ -125,7 +128,7 @@
 async fn surplus_bytes_reach_no_other_request(#[case] answer: &'static str) {
     let answers: &'static [&'static str] = Box::leak(Box::new([answer, SECOND]));
     let (address, mut connections) = target(answers).await;
-    let handle = target::spawn();
+    let handle = target::spawn(CONNECTIONS_MAX);
     let first = run(&handle, address, &head(short_deadline(), true)).await.expect("an answer head");
     assert_eq!(first.expect("a complete answer"), "first");
     let second =
@@ -141,7 +144,7 @@
 async fn an_incomplete_answer_is_an_error(#[case] answer: &'static str) {
     let answers: &'static [&'static str] = Box::leak(Box::new([answer]));
     let (address, _connections) = target(answers).await;
-    let handle = target::spawn();
+    let handle = target::spawn(CONNECTIONS_MAX);
     let head = head(short_deadline(), true);
     let reading = tokio::time::timeout_at(head.deadline, run(&handle, address, &head)).await;
     assert!(!matches!(reading, Ok(Ok(Ok(_)))), "{reading:?}");
@@ -150,7 +153,7 @@
 #[tokio::test]
 async fn a_late_answer_reaches_no_other_request() {
     let (address, mut connections) = target(&["", SECOND]).await;
-    let handle = target::spawn();
+    let handle = target::spawn(CONNECTIONS_MAX);
     let late = run(&handle, address, &head(short_deadline(), true)).await.expect_err("no answer");
     assert_eq!((late.code, late.verdict), (Code::DeadlineExceeded, Verdict::MayHaveRun));
     let second =
@@ -162,7 +165,7 @@
 #[tokio::test]
 async fn nothing_is_sent_after_the_deadline() {
     let (address, mut connections) = target(&[FIRST]).await;
-    let handle = target::spawn();
+    let handle = target::spawn(CONNECTIONS_MAX);
     let past = Instant::now() - Duration::from_millis(1);
     let refused =
         run(&handle, address, &head(past, false)).await.expect_err("the deadline has passed");
@@ -173,7 +176,7 @@
 #[tokio::test]
 async fn a_deadline_that_passes_while_connecting_is_not_run() {
     let (address, mut connections) = target(&[FIRST]).await;
-    let handle = target::spawn();
+    let handle = target::spawn(CONNECTIONS_MAX);
     let head = head(Instant::now() + Duration::from_millis(10), false);
     // Blocks the only thread, so that the connection and the timer are ready at the same poll.
     let pause = async { thread::sleep(Duration::from_millis(30)) };
@@ -187,7 +190,7 @@
 #[tokio::test]
 async fn a_submission_has_a_connection_of_its_own() {
     let (address, mut connections) = target(&[FIRST, SECOND]).await;
-    let handle = target::spawn();
+    let handle = target::spawn(CONNECTIONS_MAX);
     run(&handle, address, &head(short_deadline(), true))
         .await
         .expect("an answer head")
@@ -199,3 +202,30 @@
         .expect("a complete answer");
     assert_eq!((connections.recv().await, connections.recv().await), (Some(0), Some(1)));
 }
+
+/// When all connections are in use, a request is refused at once as not run; an idle one is closed for another target.
+#[tokio::test]
+async fn connections_to_all_targets_are_bounded() {
+    let (first, _requests) = target(&[FIRST]).await;
+    let (second, _more_requests) = target(&[SECOND]).await;
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let silent_address = silent.local_addr().expect("an address");
+    let handle = target::spawn(1);
+    for (address, expected) in [(first, "first"), (second, "second")] {
+        let deadline = Instant::now() + Duration::from_secs(60);
+        let answer = run(&handle, address, &head(deadline, true)).await.expect("an answer head");
+        assert_eq!(answer.expect("a complete answer"), expected);
+        // Another task returns the connection to the pool.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let deadline = Instant::now() + Duration::from_secs(60);
+    let waiting = tokio::spawn({
+        let handle = handle.clone();
+        async move { run(&handle, silent_address, &head(deadline, true)).await }
+    });
+    let _connection = silent.accept().await.expect("a connection");
+    let refusal = run(&handle, first, &head(deadline, true)).await.expect_err("a refusal");
+    assert_eq!((refusal.code, refusal.verdict), (Code::NoRoom, Verdict::NotRun));
+    assert!(refusal.retry_after.is_some());
+    waiting.abort();
+}
