serve: bound what the kernel holds for a connection, and for how long

What callers saw: the machine ran out of memory while clients did not read their answers (847 MB in the kernel), and no descriptor was left, since such a connection has a request that is being handled and is not closed for another.

Cause: as in `edge`, the kernel received and kept as much as it liked. And no time-out ended a connection whose client takes nothing.

Change: connections of callers and operators are those of `edge` (`socket::Stream`), with a receive window that grows with a body out of the budget. They are probed every 5 s, and one that takes nothing for 10 s while there is something to send is closed by the kernel (`edge`: 2 s).

Why it works: as for `edge`, and an unread answer no longer keeps its connection.

--- a/src/host/gateway.rs
+++ b/src/host/gateway.rs
@@ -69,11 +69,10 @@
         let table = lookup::spawn(context, tasks);
         let gateway = Gateway { context: context.clone(), tasks: tasks.clone(), table };
         let router = Router::with_path("{**rest}").goal(gateway);
-        let journal = context.journal.clone();
         let tls = context.certificates().await?;
         let limits = Limits::default();
         let port = Port::new("callers", context.settings.machine.allotment().callers);
-        let listener = listener::Server::spawn(listener, port, router, journal, limits, tls);
+        let listener = listener::Server::spawn(listener, port, router, context, limits, tls);
         Ok(Server { listener })
     }
 
@@ -290,6 +289,12 @@
     ) -> Result<Payload, Refusal> {
         let limit = if route.repeatable { BUFFERED_MAX_BYTES } else { SUBMISSION_MAX_BYTES };
         let length = headers::content_length(request.headers());
+        let mut window = request.extensions().get::<Handling>().map(Handling::window);
+        let mut grow = move |received| {
+            if let Some(window) = &mut window {
+                window.grow(received);
+            }
+        };
         let body = request.take_body();
         if !route.repeatable && length.is_some_and(|length| length > limit as u64) {
             return Err(too_large(limit));
@@ -297,10 +302,15 @@
         let may_exceed_buffer = length.is_none_or(|length| length > limit as u64);
         let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
         if route.repeatable && may_exceed_buffer && (length.is_some() || is_chunked) {
-            let stream = body.map_err(std::io::Error::other).boxed_unsync();
-            return Ok(Payload::Stream(Some(stream)));
+            let mut received = 0;
+            let stream = body.map_err(std::io::Error::other).map_frame(move |frame| {
+                received += frame.data_ref().map_or(0, Bytes::len);
+                grow(received);
+                frame
+            });
+            return Ok(Payload::Stream(Some(stream.boxed_unsync())));
         }
-        match time::timeout_at(deadline, collect(body, limit, &self.context.memory)).await {
+        match time::timeout_at(deadline, collect(body, limit, &self.context.memory, grow)).await {
             Ok(content) => Ok(Payload::Buffered(content?)),
             Err(_) => Err(Refusal::not_run(Code::DeadlineExceeded, "the body took too long")),
         }
@@ -415,7 +425,13 @@
     request.uri().path_and_query().map_or("/", |path| path.as_str()).into()
 }
 
-async fn collect(mut body: ReqBody, limit: usize, memory: &Arc<Budget>) -> Result<Bytes, Refusal> {
+/// Collects a body; `grow` is told how much of it has been received.
+async fn collect(
+    mut body: ReqBody,
+    limit: usize,
+    memory: &Arc<Budget>,
+    mut grow: impl FnMut(usize),
+) -> Result<Bytes, Refusal> {
     let used_up = |_| {
         Refusal::not_run(Code::NoRoom, "the memory for requests is used up")
             .retry_after(MEMORY_RETRY_AFTER)
@@ -429,6 +445,7 @@
             return Err(too_large(limit));
         }
         content.push(&chunk).map_err(used_up)?;
+        grow(content.length());
     }
     content.finish().into_bytes(memory).map_err(used_up)
 }
--- a/src/host/listener.rs
+++ b/src/host/listener.rs
@@ -8,6 +8,7 @@
 
 use std::{
     future::Future,
+    io,
     pin::pin,
     sync::{Arc, Mutex},
     time::Duration,
@@ -28,12 +29,16 @@
         time,
     },
     tokio_util::{either::Either, sync::CancellationToken},
-    toucanhoist_core::event::Event,
-    toucanhoist_edge::connections::{Busy, Port, Slot},
+    toucanhoist_core::{event::Event, memory::Budget},
+    toucanhoist_edge::{
+        connections::{Busy, Port, Slot},
+        window::{Receiver, Window},
+    },
+    toucanhoist_store::socket,
 };
 
 use self::rewriter::{InFlight, Rewriter};
-use super::tls::Certificates;
+use super::{Context, tls::Certificates};
 use crate::journal::{Field, Journal};
 
 mod rewriter;
@@ -43,6 +48,8 @@
 /// Pause after a failed `accept`.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time between two probes of a caller. One that takes nothing of its answer for two of them is disconnected.
+const PROBE_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Limits of a listener's connections.
 #[derive(Clone, Copy, Debug)]
@@ -69,12 +76,14 @@
         listener: TcpListener,
         port: Arc<Port>,
         router: Router,
-        journal: Arc<Journal>,
+        context: &Context,
         limits: Limits,
         tls: Option<Certificates>,
     ) -> Server {
         let stop = CancellationToken::new();
-        let acceptor = Acceptor { port, service: Service::new(router), journal, limits, tls };
+        let (journal, memory) = (Arc::clone(&context.journal), Arc::clone(&context.memory));
+        let service = Service::new(router);
+        let acceptor = Acceptor { port, service, journal, memory, limits, tls };
         let task = tokio::spawn(acceptor.run(listener, stop.clone()));
         Server { stop, task }
     }
@@ -93,6 +102,7 @@
     port: Arc<Port>,
     service: Service,
     journal: Arc<Journal>,
+    memory: Arc<Budget>,
     limits: Limits,
     tls: Option<Certificates>,
 }
@@ -108,8 +118,14 @@
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => {
                         let note = |event, fields: &[Field<'_>]| self.journal.note(event, fields);
-                        if let Some(slot) = self.port.admit(note).await {
-                            connections.spawn(self.connection(stream, slot, stop.clone()));
+                        let Some(slot) = self.port.admit(note).await else { continue };
+                        match bounded(stream) {
+                            Ok(stream) => {
+                                connections.spawn(self.connection(stream, slot, stop.clone()));
+                            }
+                            Err(error) => {
+                                self.journal.note(Event::AcceptFailed, &[("reason", &error)]);
+                            }
                         }
                     }
                     Err(error) => {
@@ -125,12 +141,13 @@
 
     fn connection(
         &self,
-        stream: TcpStream,
+        stream: socket::Stream,
         slot: Arc<Slot>,
         stop: CancellationToken,
     ) -> impl Future<Output = ()> + Send + 'static {
-        let _ = stream.set_nodelay(true);
-        let (local, remote) = (stream.local_addr(), stream.peer_addr());
+        let socket = stream.socket();
+        let (local, remote) = (socket.local_addr(), socket.peer_addr());
+        let receiver = Receiver::new(Arc::clone(socket), Arc::clone(&self.memory));
         let in_flight = InFlight::default();
         let handler = self.service.hyper_handler(
             local.map_or(salvo::conn::SocketAddr::Unknown, Into::into),
@@ -143,7 +160,7 @@
         let service = service::service_fn({
             let (in_flight, slot) = (in_flight.clone(), Arc::clone(&slot));
             move |mut request: Request<Incoming>| {
-                let handling = Handling::new(&slot);
+                let handling = Handling::new(&slot, &receiver);
                 let guard = in_flight.enter(handling.clone());
                 request.extensions_mut().insert(handling);
                 let answer = handler.call(request);
@@ -191,16 +208,29 @@
     }
 }
 
+/// Bounds what the kernel holds for a connection, and for how long.
+fn bounded(stream: TcpStream) -> io::Result<socket::Stream> {
+    socket::configure_with(&stream, PROBE_INTERVAL)?;
+    socket::Stream::new(Arc::new(stream))
+}
+
 /// Whether a request is being handled, shared by its handler and the body of its answer.
 #[derive(Clone, Debug)]
 pub(super) struct Handling {
     slot: Arc<Slot>,
+    receiver: Arc<Receiver>,
     busy: Arc<Mutex<Option<Busy>>>,
 }
 
 impl Handling {
-    fn new(slot: &Arc<Slot>) -> Handling {
-        Handling { slot: Arc::clone(slot), busy: Arc::default() }
+    fn new(slot: &Arc<Slot>, receiver: &Arc<Receiver>) -> Handling {
+        let (slot, receiver) = (Arc::clone(slot), Arc::clone(receiver));
+        Handling { slot, receiver, busy: Arc::default() }
+    }
+
+    /// Opens the receive window for the body of the request.
+    pub(super) fn window(&self) -> Window {
+        self.receiver.open()
     }
 
     /// Keeps the connection open until the answer has been sent; returns false if it is closed already to make room for
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -55,11 +55,10 @@
         recorder::install();
         let operators = Operators { context: context.clone(), tasks: tasks.clone() };
         let router = Router::with_path("{**rest}").goal(operators);
-        let journal = context.journal.clone();
         let tls = context.certificates().await?;
         let limits = Limits::default();
         let port = Port::new("operators", context.settings.machine.allotment().directory);
-        let listener = listener::Server::spawn(listener, port, router, journal, limits, tls);
+        let listener = listener::Server::spawn(listener, port, router, context, limits, tls);
         Ok(Server { listener })
     }
 
--- a/src/host/tls.rs
+++ b/src/host/tls.rs
@@ -3,7 +3,7 @@
 use std::{io, sync::Arc, time::Duration};
 
 use {
-    tokio::{net::TcpStream, sync::watch, time},
+    tokio::{sync::watch, time},
     tokio_rustls::{
         TlsAcceptor,
         rustls::{
@@ -13,6 +13,7 @@
         },
         server::TlsStream,
     },
+    toucanhoist_store::socket,
 };
 
 use crate::settings::Tls;
@@ -50,7 +51,10 @@
     /// # Errors
     ///
     /// The handshake failed, for example because the client does not use TLS.
-    pub(super) async fn accept(&self, stream: TcpStream) -> io::Result<TlsStream<TcpStream>> {
+    pub(super) async fn accept(
+        &self,
+        stream: socket::Stream,
+    ) -> io::Result<TlsStream<socket::Stream>> {
         let config = Arc::clone(&self.current.borrow());
         TlsAcceptor::from(config).accept(stream).await
     }
--- a/toucanhoist-store/src/socket.rs
+++ b/toucanhoist-store/src/socket.rs
@@ -23,9 +23,6 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Probes without an answer after which a connection is closed.
 const KEEPALIVE_RETRIES: u32 = 1;
-/// Time after which a connection is closed if sent data stays unacknowledged. It also decides when
-/// keepalive probes give up, whatever their number, so the two agree.
-const USER_TIMEOUT: Duration = KEEPALIVE_INTERVAL.saturating_mul(1 + KEEPALIVE_RETRIES);
 
 /// Binds a listener whose connections begin with a small receive buffer. An error names the address.
 ///
@@ -78,19 +75,29 @@
     Ok(stream)
 }
 
-/// Disables Nagle's algorithm, and enables keepalive and a user timeout, so that a peer that no
-/// longer answers is detected.
+/// Configures a connection whose peer is probed every second.
 ///
 /// # Errors
 ///
 /// The system refuses an option.
 pub fn configure(stream: &TcpStream) -> io::Result<()> {
+    configure_with(stream, KEEPALIVE_INTERVAL)
+}
+
+/// Disables Nagle's algorithm, and enables keepalive and a user timeout of two `interval`s, so that a peer
+/// that no longer answers, or that takes nothing of what it is sent, is detected.
+///
+/// # Errors
+///
+/// The system refuses an option.
+pub fn configure_with(stream: &TcpStream, interval: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
+        .with_time(interval)
+        .with_interval(interval)
         .with_retries(KEEPALIVE_RETRIES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    // The user timeout also decides when keepalive probes give up, whatever their number, so the two agree.
+    socket.set_tcp_user_timeout(Some(interval * (1 + KEEPALIVE_RETRIES)))
 }
