serve: check the fleet's secret before a message is read

What callers saw: the process ran out of memory while connections to the port for hosts sent messages without the fleet's secret.

Cause: each call checked the secret itself, after its message had been read whole, up to 4 MB of it (64 MB of a configuration), for 200 calls a connection.

Change: one check of the call's head, before all services; those in the calls are gone.

Why it works: nothing of a call is kept before its sender is known to be a host.

--- a/src/host/peers.rs
+++ b/src/host/peers.rs
@@ -20,6 +20,7 @@
     tonic::{
         Request, Response, Status, Streaming,
         metadata::MetadataValue,
+        service::InterceptorLayer,
         transport::{Channel, Endpoint},
     },
     toucanhoist_core::{
@@ -359,8 +360,9 @@
         let quota = QuotaServer::new(service.clone());
         let router = tonic::transport::Server::builder()
             .tcp_nodelay(true)
-            .add_service(configuration::service(context, tasks))
-            .add_service(membership::service(context, tasks))
+            .layer(InterceptorLayer::new(auth::interceptor(context)))
+            .add_service(configuration::service(tasks))
+            .add_service(membership::service(tasks))
             .add_service(RoomServer::new(service.clone()))
             .add_service(quota)
             .add_service(ForwardServer::new(service));
@@ -401,7 +403,6 @@
         &self,
         request: Request<Streaming<RequestPart>>,
     ) -> Result<Response<AnswerStream>, Status> {
-        auth::authenticate(&self.context, &request)?;
         let mut parts = request.into_inner();
         let first = parts
             .message()
--- a/src/host/peers/auth.rs
+++ b/src/host/peers/auth.rs
@@ -3,6 +3,8 @@
 //! The first secret in the settings is sent, and all of them are accepted. To rotate the secret,
 //! add the new one after the old one on all hosts, then put it first, then remove the old one.
 
+use std::sync::Arc;
+
 use {
     subtle::ConstantTimeEq,
     tonic::{Request, Status, metadata::MetadataMap},
@@ -13,17 +15,18 @@
 /// Metadata that carries the secret.
 pub(super) const SECRET: &str = "toucanhoist-fleet-secret";
 
-/// Checks the secret of a request.
-///
-/// # Errors
-///
-/// The secret is missing or wrong.
-pub(super) fn authenticate<T>(context: &Context, request: &Request<T>) -> Result<(), Status> {
-    if is_valid(&context.settings.fleet_secrets, request.metadata()) {
-        return Ok(());
+/// Returns a check of the secret of each request, before anything of its messages is read.
+pub(super) fn interceptor(
+    context: &Context,
+) -> impl FnMut(Request<()>) -> Result<Request<()>, Status> + Clone + use<> {
+    let settings = Arc::clone(&context.settings);
+    move |request| {
+        if is_valid(&settings.fleet_secrets, request.metadata()) {
+            return Ok(request);
+        }
+        metrics::counter!("toucanhoist_peers_refused_total").increment(1);
+        Err(Status::unauthenticated("the fleet secret is wrong"))
     }
-    metrics::counter!("toucanhoist_peers_refused_total").increment(1);
-    Err(Status::unauthenticated("the fleet secret is wrong"))
 }
 
 fn is_valid(secrets: &[Box<str>], metadata: &MetadataMap) -> bool {
--- a/src/host/peers/configuration.rs
+++ b/src/host/peers/configuration.rs
@@ -14,20 +14,18 @@
     },
 };
 
-use super::auth;
-use crate::host::{Context, Tasks};
+use crate::host::Tasks;
 
 const MESSAGE_MAX_BYTES: usize = 64 * 1_024 * 1_024;
 const CHUNK_BYTES: usize = 256 * 1_024;
 
 struct Service {
-    context: Context,
     tasks: Tasks,
 }
 
 /// Creates the service.
-pub(super) fn service(context: &Context, tasks: &Tasks) -> ConfigurationServer<impl Configuration> {
-    let service = Service { context: context.clone(), tasks: tasks.clone() };
+pub(super) fn service(tasks: &Tasks) -> ConfigurationServer<impl Configuration> {
+    let service = Service { tasks: tasks.clone() };
     ConfigurationServer::new(service)
         .max_decoding_message_size(MESSAGE_MAX_BYTES)
         .max_encoding_message_size(MESSAGE_MAX_BYTES)
@@ -40,7 +38,6 @@
     type FetchStream = Parts;
 
     async fn push(&self, request: Request<Entries>) -> Result<Response<Position>, Status> {
-        auth::authenticate(&self.context, &request)?;
         let (from, message) = push_message(request.into_inner())
             .ok_or_else(|| Status::invalid_argument("malformed entries"))?;
         let answer = self.tasks.fleet.deliver_configuration(from, message).await;
@@ -49,7 +46,6 @@
     }
 
     async fn fetch(&self, request: Request<Position>) -> Result<Response<Parts>, Status> {
-        auth::authenticate(&self.context, &request)?;
         let have = request.into_inner().revision.into();
         // The answer is returned by this call, so no address is needed to send it to.
         let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
@@ -60,8 +56,7 @@
         Ok(Response::new(Box::pin(stream::iter(parts.into_iter().map(Ok)))))
     }
 
-    async fn locate(&self, request: Request<Query>) -> Result<Response<Position>, Status> {
-        auth::authenticate(&self.context, &request)?;
+    async fn locate(&self, _request: Request<Query>) -> Result<Response<Position>, Status> {
         let revision = self.tasks.fleet.catalog().revision().as_u64();
         Ok(Response::new(Position { revision }))
     }
--- a/src/host/peers/membership.rs
+++ b/src/host/peers/membership.rs
@@ -8,23 +8,20 @@
     },
 };
 
-use super::auth;
-use crate::host::{Context, Tasks};
+use crate::host::Tasks;
 
 struct Service {
-    context: Context,
     tasks: Tasks,
 }
 
 /// Creates the service.
-pub(super) fn service(context: &Context, tasks: &Tasks) -> MembershipServer<impl Membership> {
-    MembershipServer::new(Service { context: context.clone(), tasks: tasks.clone() })
+pub(super) fn service(tasks: &Tasks) -> MembershipServer<impl Membership> {
+    MembershipServer::new(Service { tasks: tasks.clone() })
 }
 
 #[tonic::async_trait]
 impl Membership for Service {
     async fn deliver(&self, request: Request<Message>) -> Result<Response<Replies>, Status> {
-        auth::authenticate(&self.context, &request)?;
         let message = request.into_inner().try_into();
         let message = message.map_err(|error: toucanhoist_wire::Error| {
             Status::invalid_argument(error.to_string())
--- a/src/host/peers/quota.rs
+++ b/src/host/peers/quota.rs
@@ -15,7 +15,7 @@
     },
 };
 
-use super::{Handle, Service, auth};
+use super::{Handle, Service};
 use crate::host::accounts::{Changes, KeyChange};
 
 const GIVE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -85,7 +85,6 @@
 #[tonic::async_trait]
 impl Quota for Service {
     async fn give(&self, request: Request<Ask>) -> Result<Response<Tokens>, Status> {
-        auth::authenticate(&self.context, &request)?;
         let Ask { account, tokens } = request.into_inner();
         let account =
             account.parse().map_err(|_| Status::invalid_argument("invalid account name"))?;
@@ -97,7 +96,6 @@
     }
 
     async fn vouch(&self, request: Request<Standing>) -> Result<Response<Vouched>, Status> {
-        auth::authenticate(&self.context, &request)?;
         let Standing { holder: subject, guardian } = request.into_inner();
         let (subject, guardian) = (holder(subject)?, holder(guardian)?);
         let stands = self.tasks.accounts.vouch(subject, guardian).await;
@@ -105,7 +103,6 @@
     }
 
     async fn keys(&self, request: Request<KeysAsk>) -> Result<Response<KeysReport>, Status> {
-        auth::authenticate(&self.context, &request)?;
         let changes = self.tasks.accounts.changes(request.into_inner().version).await;
         let changes = changes.ok_or_else(|| Status::unavailable("the host is stopping"))?;
         let age = changes.platform_age.unwrap_or_default().as_millis();
--- a/src/host/peers/room.rs
+++ b/src/host/peers/room.rs
@@ -5,12 +5,11 @@
     toucanhoist_wire::room::{Digest, room_server::Room},
 };
 
-use super::{Service, auth};
+use super::Service;
 
 #[tonic::async_trait]
 impl Room for Service {
     async fn exchange(&self, request: Request<Digest>) -> Result<Response<Digest>, Status> {
-        auth::authenticate(&self.context, &request)?;
         let mut message = request.into_inner();
         let invalid = |error: toucanhoist_wire::Error| Status::invalid_argument(error.to_string());
         let host = message.host().map_err(invalid)?;
