serve: keep the connections of hosts when their port is full

What callers saw: a request that another host had forwarded, and that was running at its target, got 502 when connections filled the port for hosts.

Cause: on that port the connection that had been quiet longest was closed for a new one, whatever it carried. A forwarded request is quiet while its target works.

Change: a connection on which a call has shown the fleet's secret is not closed for others. Those that have not are closed in the order in which they have been quiet. Hosts are probed every 2 s, so that one that is gone gives its place back.

Why it works: anyone may connect, but only a host can show the secret, and each other host has one connection.

--- a/src/host/peers/auth.rs
+++ b/src/host/peers/auth.rs
@@ -10,22 +10,29 @@
     tonic::{Request, Status, metadata::MetadataMap},
 };
 
+use super::incoming::Peer;
 use crate::host::Context;
 
 /// Metadata that carries the secret.
 pub(super) const SECRET: &str = "toucanhoist-fleet-secret";
 
-/// Returns a check of the secret of each request, before anything of its messages is read.
+/// Returns a check of the secret of each request, before anything of its messages is read. The connection of a host
+/// that has shown it is not closed for others.
 pub(super) fn interceptor(
     context: &Context,
 ) -> impl FnMut(Request<()>) -> Result<Request<()>, Status> + Clone + use<> {
     let settings = Arc::clone(&context.settings);
     move |request| {
-        if is_valid(&settings.fleet_secrets, request.metadata()) {
-            return Ok(request);
+        if !is_valid(&settings.fleet_secrets, request.metadata()) {
+            metrics::counter!("toucanhoist_peers_refused_total").increment(1);
+            return Err(Status::unauthenticated("the fleet secret is wrong"));
+        }
+        match request.extensions().get::<Peer>() {
+            Some(peer) if !peer.keep() => {
+                Err(Status::unavailable("the connection is being closed"))
+            }
+            _ => Ok(request),
         }
-        metrics::counter!("toucanhoist_peers_refused_total").increment(1);
-        Err(Status::unauthenticated("the fleet secret is wrong"))
     }
 }
 
--- a/src/host/peers/incoming.rs
+++ b/src/host/peers/incoming.rs
@@ -1,14 +1,15 @@
 //! Connections of other entry hosts, within the limit of their port.
 //!
-//! Hosts send each other messages all the time, so the connection that has been quiet longest is the one that is closed
-//! when the port is full.
+//! When the port is full, the connection is closed that has been quiet longest among those that have not shown the
+//! fleet's secret. One that has may carry requests that run at targets.
 
 use std::{
     future::Future,
     io,
     pin::Pin,
-    sync::Arc,
+    sync::{Arc, Mutex},
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use {
@@ -18,12 +19,18 @@
         net::{TcpListener, TcpStream},
         sync::futures::OwnedNotified,
     },
-    tonic::transport::server::{Connected, TcpConnectInfo},
-    toucanhoist_edge::connections::{Port, Slot},
+    tonic::transport::server::Connected,
+    toucanhoist_core::event::Event,
+    toucanhoist_edge::connections::{Busy, Port, Slot},
+    toucanhoist_store::socket,
 };
 
 use crate::journal::Journal;
 
+/// Time between two probes of a host. One that is gone, or takes nothing of what it is sent for two of them, is
+/// disconnected.
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Returns the connections that a port admits.
 pub(super) fn connections(
     listener: TcpListener,
@@ -37,32 +44,54 @@
                 Err(error) => return Some((Err(error), (listener, port, journal))),
             };
             let slot = port.admit(|event, fields| journal.note(event, fields)).await;
-            if let Some(slot) = slot {
-                return Some((Ok(Connection::new(stream, slot)), (listener, port, journal)));
+            let Some(slot) = slot else { continue };
+            if let Err(error) = socket::configure_with(&stream, PROBE_INTERVAL) {
+                journal.note(Event::AcceptFailed, &[("reason", &error)]);
+                continue;
             }
+            return Some((Ok(Connection::new(stream, slot)), (listener, port, journal)));
         }
     })
 }
 
+/// Who is at the other end of a connection, which its calls share.
+#[derive(Clone, Debug)]
+pub(super) struct Peer {
+    slot: Arc<Slot>,
+    /// Keeps the connection of a host open; `None` until it has shown the secret.
+    kept: Arc<Mutex<Option<Busy>>>,
+}
+
+impl Peer {
+    /// Keeps the connection of a host that has shown the secret; returns false if it is being closed already.
+    pub(super) fn keep(&self) -> bool {
+        let mut kept = self.kept.lock().expect("no holder of the lock panics");
+        if kept.is_none() {
+            *kept = self.slot.begin();
+        }
+        kept.is_some()
+    }
+}
+
 /// A connection of another host.
 pub(super) struct Connection {
     stream: TcpStream,
-    slot: Arc<Slot>,
+    peer: Peer,
     closing: Pin<Box<OwnedNotified>>,
 }
 
 impl Connection {
     fn new(stream: TcpStream, slot: Arc<Slot>) -> Connection {
         let closing = Box::pin(slot.closing_owned());
-        Connection { stream, slot, closing }
+        Connection { stream, peer: Peer { slot, kept: Arc::default() }, closing }
     }
 }
 
 impl Connected for Connection {
-    type ConnectInfo = TcpConnectInfo;
+    type ConnectInfo = Peer;
 
-    fn connect_info(&self) -> TcpConnectInfo {
-        self.stream.connect_info()
+    fn connect_info(&self) -> Peer {
+        self.peer.clone()
     }
 }
 
@@ -79,7 +108,7 @@
         let before = buffer.filled().len();
         let read = ready!(Pin::new(&mut self.stream).poll_read(context, buffer));
         if buffer.filled().len() > before {
-            self.slot.renew();
+            self.peer.slot.renew();
         }
         Poll::Ready(read)
     }
