serve: hold the bodies of operators' requests within the budget

What callers saw: the process outgrew the smallest machine while bodies of up to 256 MB arrived at the operators' port, with the operators' token.

Cause: the HTTP library collected each body whole, and nothing bound all of them together.

Change: they come out of the budget of bytes, as the bodies of callers do and by the same code. Without room they are refused with 503, and nothing is changed.

Why it works: what a host holds of bodies follows neither their number nor their port.

--- a/src/host/gateway.rs
+++ b/src/host/gateway.rs
@@ -1,13 +1,13 @@
 //! The callers' listener.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{io, pin::pin, sync::Arc, time::Duration};
 
 use {
     bytes::Bytes,
     http::{HeaderValue, Method, StatusCode, header},
     http_body::Body as _,
     http_body_util::BodyExt,
-    salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, http::ReqBody},
+    salvo::{Depot, FlowCtrl, Handler, Request, Response, Router},
     tokio::{
         net::TcpListener,
         sync::watch,
@@ -289,28 +289,16 @@
     ) -> Result<Payload, Refusal> {
         let limit = if route.repeatable { BUFFERED_MAX_BYTES } else { SUBMISSION_MAX_BYTES };
         let length = headers::content_length(request.headers());
-        let mut window = request.extensions().get::<Handling>().map(Handling::window);
-        let mut grow = move |received| {
-            if let Some(window) = &mut window {
-                window.grow(received);
-            }
-        };
-        let body = request.take_body();
         if !route.repeatable && length.is_some_and(|length| length > limit as u64) {
             return Err(too_large(limit));
         }
         let may_exceed_buffer = length.is_none_or(|length| length > limit as u64);
         let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
         if route.repeatable && may_exceed_buffer && (length.is_some() || is_chunked) {
-            let mut received = 0;
-            let stream = body.map_err(std::io::Error::other).map_frame(move |frame| {
-                received += frame.data_ref().map_or(0, Bytes::len);
-                grow(received);
-                frame
-            });
-            return Ok(Payload::Stream(Some(stream.boxed_unsync())));
+            let stream = upload(request).boxed_unsync();
+            return Ok(Payload::Stream(Some(stream)));
         }
-        match time::timeout_at(deadline, collect(body, limit, &self.context.memory, grow)).await {
+        match time::timeout_at(deadline, collect(request, limit, &self.context.memory)).await {
             Ok(content) => Ok(Payload::Buffered(content?)),
             Err(_) => Err(Refusal::not_run(Code::DeadlineExceeded, "the body took too long")),
         }
@@ -425,17 +413,30 @@
     request.uri().path_and_query().map_or("/", |path| path.as_str()).into()
 }
 
-/// Collects a body; `grow` is told how much of it has been received.
-async fn collect(
-    mut body: ReqBody,
+/// Takes the body of a request, with which the receive window of its connection grows.
+fn upload(request: &mut Request) -> impl http_body::Body<Data = Bytes, Error = io::Error> + use<> {
+    let mut window = request.extensions().get::<Handling>().map(Handling::window);
+    let mut received = 0;
+    request.take_body().map_frame(move |frame| {
+        received += frame.data_ref().map_or(0, Bytes::len);
+        if let Some(window) = &mut window {
+            window.grow(received);
+        }
+        frame
+    })
+}
+
+/// Collects the body of a request.
+pub(super) async fn collect(
+    request: &mut Request,
     limit: usize,
     memory: &Arc<Budget>,
-    mut grow: impl FnMut(usize),
 ) -> Result<Bytes, Refusal> {
     let used_up = |_| {
         Refusal::not_run(Code::NoRoom, "the memory for requests is used up")
             .retry_after(MEMORY_RETRY_AFTER)
     };
+    let mut body = pin!(upload(request));
     let mut content = Collector::new(memory, 0);
     while let Some(frame) = body.frame().await {
         let frame =
@@ -445,7 +446,6 @@
             return Err(too_large(limit));
         }
         content.push(&chunk).map_err(used_up)?;
-        grow(content.length());
     }
     content.finish().into_bytes(memory).map_err(used_up)
 }
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -9,7 +9,7 @@
 use {
     http::{Method, StatusCode, header},
     salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, http::ResBody},
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
     serde_json::{Value, json},
     tokio::net::TcpListener,
     toucanhoist_core::{
@@ -29,6 +29,7 @@
 use super::{
     Context, Tasks,
     fleet::{Outcome, Proposal},
+    gateway,
     listener::{self, Handling, Limits},
 };
 
@@ -288,7 +289,7 @@
     }
 
     async fn change(&self, request: &mut Request) -> Reply {
-        let change: ChangeRequest = match body(request).await {
+        let change: ChangeRequest = match body(request, &self.context).await {
             Ok(change) => change,
             Err(reply) => return reply,
         };
@@ -317,7 +318,7 @@
 
     /// Returns what a configuration would change and remove.
     async fn effect(&self, request: &mut Request) -> Reply {
-        let fleet: Fleet = match body(request).await {
+        let fleet: Fleet = match body(request, &self.context).await {
             Ok(fleet) => fleet,
             Err(reply) => return reply,
         };
@@ -361,7 +362,7 @@
     }
 
     async fn grant(&self, request: &mut Request) -> Reply {
-        let grant: KeyRequest = match body(request).await {
+        let grant: KeyRequest = match body(request, &self.context).await {
             Ok(grant) => grant,
             Err(reply) => return reply,
         };
@@ -377,7 +378,7 @@
     }
 
     async fn withdraw(&self, request: &mut Request) -> Reply {
-        let withdrawal: KeyRequest = match body(request).await {
+        let withdrawal: KeyRequest = match body(request, &self.context).await {
             Ok(withdrawal) => withdrawal,
             Err(reply) => return reply,
         };
@@ -441,12 +442,14 @@
     )
 }
 
-async fn body<T: serde::de::DeserializeOwned>(request: &mut Request) -> Result<T, Reply> {
+/// Reads and parses the body of a request, out of the budget of bytes that callers have too.
+async fn body<T: DeserializeOwned>(request: &mut Request, context: &Context) -> Result<T, Reply> {
     let bad_request = |problem: &str| Reply::error(StatusCode::BAD_REQUEST, problem);
-    let content = request
-        .payload_with_max_size(BODY_MAX_BYTES)
-        .await
-        .map_err(|error| bad_request(&error.to_string()))?;
-    let text = std::str::from_utf8(content).map_err(|error| bad_request(&error.to_string()))?;
+    let content = gateway::collect(request, BODY_MAX_BYTES, &context.memory).await;
+    let content = content.map_err(|refusal| {
+        let status = StatusCode::from_u16(refusal.code.status());
+        Reply::error(status.unwrap_or(StatusCode::BAD_REQUEST), &refusal.detail)
+    })?;
+    let text = std::str::from_utf8(&content).map_err(|error| bad_request(&error.to_string()))?;
     parse(text).map_err(|error| bad_request(&error.to_string()))
 }
--- a/src/host/operators/submissions.rs
+++ b/src/host/operators/submissions.rs
@@ -26,7 +26,7 @@
     }
 
     async fn settle(&self, request: &mut Request) -> Reply {
-        let settlement: Settlement = match body(request).await {
+        let settlement: Settlement = match body(request, &self.context).await {
             Ok(settlement) => settlement,
             Err(reply) => return reply,
         };
