--- a/src/host/listener.rs
+++ b/src/host/listener.rs
@@ -109,6 +109,9 @@
 
 impl Acceptor {
     async fn run(self, listener: TcpListener, stop: CancellationToken) {
+        if let Err(error) = socket::bound_new_connections(&listener) {
+            self.journal.note(Event::ReceiveBufferLarge, &[("error", &error)]);
+        }
         let mut connections = JoinSet::new();
         loop {
             tokio::select! {
--- a/toucanhoist-core/src/event.rs
+++ b/toucanhoist-core/src/event.rs
@@ -69,6 +69,8 @@
     AcceptFailed 1101 Warn "accept-failed"
     /// A port is full.
     PortFull 1102 Warn "port-full"
+    /// The system gives new connections a large receive buffer.
+    ReceiveBufferLarge 1103 Warn "receive-buffer-large"
     /// A caller's look-up was answered.
     LookedUp 2001 Info "looked-up"
     /// A request could not be read and was refused.
--- a/toucanhoist-edge/src/gateway.rs
+++ b/toucanhoist-edge/src/gateway.rs
@@ -96,6 +96,7 @@
 
 /// Serves callers until the host closes, and then until all connections have ended.
 pub async fn serve(listener: TcpListener, port: Arc<Port>, shared: Arc<Shared>) {
+    server::bound_new_connections(&listener, &shared.journal);
     let mut phase = shared.phase.clone();
     let mut connections = JoinSet::new();
     loop {
--- a/toucanhoist-edge/src/server.rs
+++ b/toucanhoist-edge/src/server.rs
@@ -9,6 +9,7 @@
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     tokio::{net::TcpListener, time},
+    toucanhoist_core::event::Event,
     toucanhoist_store::socket,
 };
 
@@ -39,6 +40,13 @@
     answer
 }
 
+/// Has connections of a listener begin with a small receive buffer, where the system allows that.
+pub(crate) fn bound_new_connections(listener: &TcpListener, journal: &Journal) {
+    if let Err(error) = socket::bound_new_connections(listener) {
+        journal.note(Event::ReceiveBufferLarge, &[("error", &error)]);
+    }
+}
+
 /// Serves requests for as long as the process runs. A request has its connection's socket among its extensions.
 pub(crate) async fn serve<F>(
     listener: TcpListener,
@@ -49,6 +57,7 @@
 ) where
     F: Future<Output = Answer> + Send + 'static,
 {
+    bound_new_connections(&listener, &journal);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             time::sleep(ACCEPT_PAUSE).await;
--- a/toucanhoist-store/src/socket.rs
+++ b/toucanhoist-store/src/socket.rs
@@ -16,7 +16,7 @@
 
 mod bounded;
 
-pub use self::bounded::{RECEIVE_BYTES, Stream};
+pub use self::bounded::{RECEIVE_BYTES, Stream, bound_new_connections};
 
 /// Idle time before the first keepalive probe, and time between probes; the system counts them in
 /// whole seconds.
@@ -24,7 +24,7 @@
 /// Probes without an answer after which a connection is closed.
 const KEEPALIVE_RETRIES: u32 = 1;
 
-/// Binds a listener whose connections begin with a small receive buffer. An error names the address.
+/// Binds a listener. An error names the address.
 ///
 /// # Errors
 ///
@@ -32,14 +32,7 @@
 pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let with_address =
         |error: io::Error| io::Error::new(error.kind(), format!("{address}: {error}"));
-    let listener = TcpListener::bind(address).await.map_err(with_address)?;
-    if let Err(error) = bounded::bound_new_connections(&listener) {
-        log::warn!(
-            target: "toucanhoist",
-            "{address}: connections begin with the system's receive buffer: {error}"
-        );
-    }
-    Ok(listener)
+    TcpListener::bind(address).await.map_err(with_address)
 }
 
 /// Connects within `timeout`.
--- a/toucanhoist-store/src/socket/bounded.rs
+++ b/toucanhoist-store/src/socket/bounded.rs
@@ -52,8 +52,8 @@
 ///
 /// # Errors
 ///
-/// The system refuses the option; Linux has it since 5.14.
-pub(super) fn bound_new_connections(listener: &TcpListener) -> io::Result<()> {
+/// The system refuses the option, which Linux has since 5.14. Connections then begin with the system's buffer.
+pub fn bound_new_connections(listener: &TcpListener) -> io::Result<()> {
     let socket = SockRef::from(listener);
     // A size that is fixed would also limit how far the window can grow later.
     setsockopt(listener, option::BufferLock, &0)?;
