--- a/toucanhoist-edge/src/gateway.rs
+++ b/toucanhoist-edge/src/gateway.rs
@@ -34,6 +34,8 @@
     window::Receiver,
 };
 
+use self::request::HeadMemory;
+
 mod answer;
 mod attempt;
 mod pipeline;
@@ -140,15 +142,15 @@
     let stream = pipeline::Stream::new(stream, Arc::clone(&pipeline));
     let service = service_fn(|mut request| {
         // Taken when the head has been read: the library may keep it for long before it polls the future.
-        let share = request::take_head_share(&shared, &request);
-        if share.is_none() {
+        let memory = request::take_head_memory(&shared, &request);
+        if matches!(memory, HeadMemory::Lacking) {
             request::shorten(&shared, &mut request);
         }
         let (shared, pipeline, slot) =
             (Arc::clone(&shared), Arc::clone(&pipeline), Arc::clone(&slot));
         let window = receiver.open();
         async move {
-            let answer = request::handle(&shared, &pipeline, &slot, share, window, request).await;
+            let answer = request::handle(&shared, &pipeline, &slot, memory, window, request).await;
             Ok::<_, Infallible>(answer)
         }
     });
--- a/toucanhoist-edge/src/gateway/request.rs
+++ b/toucanhoist-edge/src/gateway/request.rs
@@ -80,15 +80,27 @@
     window: Window,
 }
 
-/// Memory of a request's head; `None` if the budget had no room for it.
-pub(super) type HeadShare = Option<Option<Share>>;
+/// Memory of a request's head.
+#[derive(Debug)]
+pub(super) enum HeadMemory {
+    /// The memory of the connection covers it.
+    Covered,
+    /// It is taken from the budget.
+    Taken { _share: Share },
+    /// The budget had no room for it.
+    Lacking,
+}
 
 /// Takes the memory that the head of a request needs beyond that of its connection.
-pub(super) fn take_head_share<B>(shared: &Shared, request: &Request<B>) -> HeadShare {
+pub(super) fn take_head_memory<B>(shared: &Shared, request: &Request<B>) -> HeadMemory {
     let headers = request.headers();
     let text: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
     let bytes = text + headers.len() * FIELD_BYTES;
-    if bytes <= FREE_HEAD_BYTES { Some(None) } else { shared.memory.take(bytes).map(Some) }
+    if bytes <= FREE_HEAD_BYTES {
+        return HeadMemory::Covered;
+    }
+    let taken = shared.memory.take(bytes);
+    taken.map_or(HeadMemory::Lacking, |share| HeadMemory::Taken { _share: share })
 }
 
 /// Drops the headers of a request but for its identifier.
@@ -112,9 +124,9 @@
         }
         let share = shared.memory.take(EARLY_BYTES)?;
         let (shared, slot, head) = (Arc::clone(&shared), Arc::clone(&slot), head.clone());
-        Some(tokio::spawn(
-            async move { respond(&shared, &slot, head, Some(Some(share)), None).await },
-        ))
+        Some(tokio::spawn(async move {
+            respond(&shared, &slot, head, HeadMemory::Taken { _share: share }, None).await
+        }))
     })
 }
 
@@ -123,7 +135,7 @@
     shared: &Arc<Shared>,
     pipeline: &Pipeline,
     slot: &Arc<Slot>,
-    head_share: HeadShare,
+    head_memory: HeadMemory,
     window: Window,
     request: Request<Incoming>,
 ) -> Response<Body> {
@@ -136,7 +148,7 @@
         }),
         None => {
             let upload = Upload { content, window };
-            respond(shared, slot, head, head_share, Some(upload)).await
+            respond(shared, slot, head, head_memory, Some(upload)).await
         }
     };
     pipeline.finish();
@@ -153,14 +165,14 @@
     shared: &Arc<Shared>,
     slot: &Arc<Slot>,
     head: Parts,
-    head_share: HeadShare,
+    head_memory: HeadMemory,
     mut upload: Option<Upload>,
 ) -> Response<Body> {
     let arrived = Instant::now();
     let id = identifier(shared, &head.headers);
     let mut guard = AbandonGuard { shared, id: &id, arrived, is_armed: true };
     let is_discarded = !head.headers.contains_key(header::EXPECT);
-    let outcome = process(shared, slot, &id, arrived, head, head_share, &mut upload).await;
+    let outcome = process(shared, slot, &id, arrived, head, head_memory, &mut upload).await;
     guard.is_armed = false;
     let rest = upload.map(|upload| upload.content).filter(|rest| !rest.is_end_stream());
     if let Some(rest) = rest.filter(|_| is_discarded) {
@@ -212,10 +224,12 @@
     id: &str,
     arrived: Instant,
     head: Parts,
-    head_share: HeadShare,
+    head_memory: HeadMemory,
     upload: &mut Option<Upload>,
 ) -> Result<Response<Body>, Refusal> {
-    let _head_share = head_share.ok_or_else(memory_used_up)?;
+    if matches!(head_memory, HeadMemory::Lacking) {
+        return Err(memory_used_up());
+    }
     let Some(routes) = shared.fleet.routes() else {
         return Err(Refusal::not_run(Code::NotReady, "no configuration has arrived")
             .retry_after(NOT_READY_RETRY_AFTER));
