--- a/src/settings.rs
+++ b/src/settings.rs
@@ -60,7 +60,7 @@
     pub machine: Machine,
 }
 
-/// Resources of the machine that the process may use. By default they are those of the smallest machine that hosts run on.
+/// Resources of the machine that the process may use. By default they are those of the users' small sites.
 #[derive(Clone, Copy, Debug, Deserialize, JsonSchema, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Machine {
--- a/toucanhoist-core/src/machine.rs
+++ b/toucanhoist-core/src/machine.rs
@@ -9,7 +9,7 @@
 
 /// Memory of a process without clients, with its log.
 const PROCESS_BYTES: usize = 26_000_000;
-/// Parts into which the memory, and the descriptors, are divided.
+/// Parts into which memory and descriptors are divided.
 const PARTS: usize = 64;
 /// Parts of the memory for the budget of callers.
 const HELD_PARTS: usize = 17;
@@ -69,7 +69,7 @@
 }
 
 impl Default for Machine {
-    /// Returns the smallest machine that hosts run on.
+    /// Returns the machine of the users' small sites.
     fn default() -> Machine {
         Machine { memory: 260_000_000, descriptors: 4_100 }
     }
--- a/toucanhoist-core/src/membership/detector.rs
+++ b/toucanhoist-core/src/membership/detector.rs
@@ -46,9 +46,9 @@
     /// Rounds over all data centres without a message from one after which it counts as
     /// unreachable.
     pub unresponsive_rounds: u32,
-    /// Number of members, apart from registered hosts, above which no further ones are taken.
+    /// Number of members from which on only registered hosts are taken.
     pub members_max: usize,
-    /// Number of data centres above which unregistered hosts of further ones are not taken.
+    /// Number of data centres from which on only registered hosts of further ones are taken.
     pub data_centres_max: usize,
     /// Time after which dead members are removed.
     pub dead_retention: Duration,
--- a/toucanhoist-edge/src/settings.rs
+++ b/toucanhoist-edge/src/settings.rs
@@ -64,9 +64,9 @@
     pub processor_share: f64,
     /// Capacity of its link, in Mbit/s.
     pub link_mbps: f64,
-    /// Memory, in MB; by default that of the smallest machine that hosts run on.
+    /// Memory, in MB; by default that of the users' small sites.
     pub memory_mb: f64,
-    /// Descriptors that the process may have open; by default those of the smallest machine. The system's limit for
+    /// Descriptors that the process may have open; by default those of the users' small sites. The system's limit for
     /// the process holds if it is lower.
     pub descriptors: usize,
 }
