machine: admit further callers out of the budget while no large body is held

What callers saw: on a grown site the port of machines of 160 MB was full with ordinary callers, and up to 45 idle connections a second were closed; some requests found all connections to targets in use.

Cause: since the budget of such a machine holds a body of 64 MiB, nearly half of the memory, whether there is one or not, and 723 connections of callers were left, 173 to targets.

Change: connections beyond those that have memory of their own take 60 KB each from the budget, which keeps 15 parts of the memory for other uses. A machine of 160 MB has 1,237 connections of callers (692 assured) and 230 to targets, one of 260 MB 1,981 and 512. A port that waits for a place asks again whenever a connection ends, as its memory may be taken meanwhile.

Tests: `the_smallest_machine_has_room_for_ordinary_callers` (723 and 173 before), `further_connections_are_admitted_while_the_budget_has_room`; the sum test holds.

--- a/src/host/gateway.rs
+++ b/src/host/gateway.rs
@@ -71,7 +71,7 @@
         let router = Router::with_path("{**rest}").goal(gateway);
         let tls = context.certificates().await?;
         let limits = Limits::default();
-        let port = Port::new("callers", context.settings.machine.allotment().callers);
+        let port = Port::for_callers(&context.settings.machine.allotment(), &context.memory);
         let listener = listener::Server::spawn(listener, port, router, context, limits, tls);
         Ok(Server { listener })
     }
--- a/toucanhoist-core/src/machine.rs
+++ b/toucanhoist-core/src/machine.rs
@@ -4,15 +4,17 @@
 A client decides how many connections it opens, how much it sends on each, and when it reads its answers. Each port
 has a number of connections of its own, so that one that is full takes nothing from the others, and callers together
 have one [budget](crate::memory) of bytes beyond the buffers that each connection has. The budget holds at least one
-body of the largest size; connections share what it and the process leave. docs/LIMITS.md adds them up.
+body of the largest size; connections share what it and the process leave. On a small machine such a body takes nearly
+half of the memory, so further connections of callers are admitted out of the budget while no such body is held.
+docs/LIMITS.md adds them up.
 */
 
 /// Memory of a process without clients, with its log.
 const PROCESS_BYTES: usize = 26_000_000;
 /// Parts into which memory and descriptors are divided.
 const PARTS: usize = 64;
-/// Parts of the memory for the budget of callers.
-const HELD_PARTS: usize = 17;
+/// Parts of the memory for the budget of callers, which connections leave to it.
+const HELD_PARTS: usize = 15;
 /// Parts of the memory for snapshots that are being sent to other hosts.
 const SNAPSHOTS_PARTS: usize = 1;
 /// Budget that holds a body of the largest size that the users' pages allow, 64 MiB, and what is received of it at the
@@ -22,7 +24,7 @@
 const BESIDE_BODY_BYTES: usize = 89_000_000;
 
 /// Memory of a connection of each kind: the buffers of the HTTP library, the task, and the kernel's buffers.
-const CALLER_BYTES: usize = 60 * 1_024;
+pub const CALLER_BYTES: usize = 60 * 1_024;
 const SHORT_BYTES: usize = 52 * 1_024;
 const PEER_BYTES: usize = 40 * 1_024;
 const TUNNEL_BYTES: usize = 72 * 1_024;
@@ -44,7 +46,7 @@
 }
 
 const CALLERS: Use =
-    Use { memory_parts: 47, descriptor_parts: 34, bytes: CALLER_BYTES, descriptors: 1 };
+    Use { memory_parts: 45, descriptor_parts: 34, bytes: CALLER_BYTES, descriptors: 1 };
 const DIRECTORY: Use =
     Use { memory_parts: 2, descriptor_parts: 4, bytes: SHORT_BYTES, descriptors: 1 };
 const CHECKS: Use =
@@ -57,7 +59,7 @@
     descriptors: TUNNEL_DESCRIPTORS,
 };
 const TARGETS: Use =
-    Use { memory_parts: 6, descriptor_parts: 8, bytes: TARGET_BYTES, descriptors: 1 };
+    Use { memory_parts: 8, descriptor_parts: 8, bytes: TARGET_BYTES, descriptors: 1 };
 
 /// Resources of a machine that clients use up.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -80,6 +82,8 @@
 pub struct Allotment {
     /// Connections of callers.
     pub callers: usize,
+    /// Those of them that have memory of their own; the others take it from the budget.
+    pub callers_assured: usize,
     /// Connections to the directory, or of operators.
     pub directory: usize,
     /// Connections for readiness checks, and as many for metrics.
@@ -99,8 +103,8 @@
 impl Machine {
     /// Shares out the machine.
     pub fn allotment(self) -> Allotment {
-        let held = (self.memory / PARTS * HELD_PARTS)
-            .max(BODY_BYTES.min(self.memory.saturating_sub(BESIDE_BODY_BYTES)));
+        let held_only = self.memory / PARTS * HELD_PARTS;
+        let held = held_only.max(BODY_BYTES.min(self.memory.saturating_sub(BESIDE_BODY_BYTES)));
         let snapshots = self.memory / PARTS * SNAPSHOTS_PARTS;
         let left = self.memory.saturating_sub(held + snapshots + PROCESS_BYTES);
         let connections = |share: Use| {
@@ -109,8 +113,12 @@
                 self.descriptors * share.descriptor_parts / PARTS / share.descriptors;
             by_memory.min(by_descriptors).max(1)
         };
+        let callers_assured = connections(CALLERS);
+        let callers = callers_assured + (held - held_only) / CALLER_BYTES;
+        let by_descriptors = self.descriptors * CALLERS.descriptor_parts / PARTS;
         Allotment {
-            callers: connections(CALLERS),
+            callers: callers.min(by_descriptors).max(callers_assured),
+            callers_assured,
             directory: connections(DIRECTORY),
             checks: connections(CHECKS),
             peers: connections(PEERS),
@@ -131,9 +139,9 @@
 
     /// Returns the memory that all of it comes to, with that of the process itself.
     pub fn bytes(&self) -> usize {
-        let Allotment { callers, directory, checks, peers, tunnels, targets, held, snapshots } =
-            *self;
-        let of_clients = callers * CALLER_BYTES + (directory + 2 * checks) * SHORT_BYTES;
+        let Allotment { directory, checks, peers, tunnels, targets, held, snapshots, .. } = *self;
+        let short = directory + 2 * checks;
+        let of_clients = self.callers_assured * CALLER_BYTES + short * SHORT_BYTES;
         let of_hosts = peers * PEER_BYTES + tunnels * TUNNEL_BYTES;
         of_clients + of_hosts + targets * TARGET_BYTES + held + snapshots + PROCESS_BYTES
     }
--- a/toucanhoist-core/tests/machine.rs
+++ b/toucanhoist-core/tests/machine.rs
@@ -36,6 +36,13 @@
     assert!(allotment.held > BODY_BYTES_MAX, "{allotment:?}");
 }
 
+/// The most that ordinary callers and exchanges with targets were seen to have open at one host of a grown site.
+#[test]
+fn the_smallest_machine_has_room_for_ordinary_callers() {
+    let allotment = SMALLEST.allotment();
+    assert!(allotment.callers > 950 && allotment.targets > 200, "{allotment:?}");
+}
+
 #[test]
 fn the_usual_machine_serves_what_the_pages_allow() {
     let allotment = Machine::default().allotment();
--- a/toucanhoist-edge/src/connections.rs
+++ b/toucanhoist-edge/src/connections.rs
@@ -1,11 +1,13 @@
 /*!
 The connections of one port, and the room for them.
 
-[`Port::admit`] admits a new connection. If the port is full, it closes the connection that has waited longest for a
+[`Port::admit`] admits a new connection. If the port is full, or the budget from which its last connections take their
+memory is used up, it closes the connection that has waited longest for a
 request, and if all of them have requests that are being handled, it refuses the new one.
 */
 
 use std::{
+    pin::pin,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
@@ -18,6 +20,8 @@
     toucanhoist_core::{
         connections::{Place, Waiting},
         event::Event,
+        machine::{self, Allotment},
+        memory::{Budget, Share},
     },
 };
 
@@ -30,11 +34,45 @@
 #[derive(Debug)]
 pub struct Port {
     name: &'static str,
+    /// Permits of connections that have memory of their own.
     permits: Arc<Semaphore>,
+    /// Room for further connections.
+    extra: Option<Extra>,
+    /// Notified when a connection has ended.
+    released: Notify,
     waiting: Mutex<Waiting<Arc<Notify>>>,
     report: Mutex<Report>,
 }
 
+/// Room for connections that take their memory from a budget.
+#[derive(Debug)]
+struct Extra {
+    permits: Arc<Semaphore>,
+    memory: Arc<Budget>,
+    /// Memory of one connection.
+    bytes: usize,
+}
+
+impl Extra {
+    /// Creates room for at most `max` connections.
+    fn new(max: usize, memory: &Arc<Budget>, bytes: usize) -> Extra {
+        Extra { permits: Arc::new(Semaphore::new(max)), memory: Arc::clone(memory), bytes }
+    }
+
+    fn try_take(&self) -> Option<Permit> {
+        let permit = Arc::clone(&self.permits).try_acquire_owned().ok()?;
+        let share = self.memory.take(self.bytes)?;
+        Some(Permit { _permit: permit, _share: Some(share) })
+    }
+}
+
+/// Permit of a connection, with its memory if that is taken from a budget.
+#[derive(Debug)]
+struct Permit {
+    _permit: OwnedSemaphorePermit,
+    _share: Option<Share>,
+}
+
 /// What a full port did to connections since the last report.
 #[derive(Clone, Copy, Debug, Default)]
 struct Report {
@@ -48,8 +86,20 @@
 impl Port {
     /// Creates a port without connections.
     pub fn new(name: &'static str, max: usize) -> Arc<Port> {
+        Port::build(name, max, None)
+    }
+
+    /// Creates the port for callers, some of whose connections take their memory from the budget of callers.
+    pub fn for_callers(allotment: &Allotment, memory: &Arc<Budget>) -> Arc<Port> {
+        let Allotment { callers, callers_assured, .. } = *allotment;
+        let extra = Extra::new(callers - callers_assured, memory, machine::CALLER_BYTES);
+        Port::build("callers", callers_assured, Some(extra))
+    }
+
+    fn build(name: &'static str, max: usize, extra: Option<Extra>) -> Arc<Port> {
+        let permits = Arc::new(Semaphore::new(max));
         let (waiting, report) = (Mutex::default(), Mutex::default());
-        Arc::new(Port { name, permits: Arc::new(Semaphore::new(max)), waiting, report })
+        Arc::new(Port { name, permits, extra, released: Notify::new(), waiting, report })
     }
 
     /// Admits a new connection; `None` if the port is full and no connection waits. `note` logs what a full port does,
@@ -68,23 +118,31 @@
     }
 
     async fn take_slot(self: &Arc<Port>) -> Option<Arc<Slot>> {
-        let permits = Arc::clone(&self.permits);
-        let permit = match Arc::clone(&permits).try_acquire_owned() {
-            Ok(permit) => permit,
-            Err(_) => {
-                let Some(closing) = self.waiting().take_longest() else {
-                    self.count("refused", |report| report.refused += 1);
-                    return None;
-                };
-                self.count("closed", |report| report.closed += 1);
-                closing.notify_one();
-                permits.acquire_owned().await.ok()?
+        let permit = loop {
+            if let Some(permit) = self.try_permit() {
+                break permit;
             }
+            let mut released = pin!(self.released.notified());
+            released.as_mut().enable();
+            let Some(closing) = self.waiting().take_longest() else {
+                self.count("refused", |report| report.refused += 1);
+                return None;
+            };
+            self.count("closed", |report| report.closed += 1);
+            closing.notify_one();
+            released.await;
         };
         let closing = Arc::new(Notify::new());
         let place = self.waiting().begin(Arc::clone(&closing));
         let state = Mutex::new(State { place: Some(place), busy: 0 });
-        Some(Arc::new(Slot { port: Arc::clone(self), closing, state, _permit: permit }))
+        Some(Arc::new(Slot { port: Arc::clone(self), closing, state, permit: Some(permit) }))
+    }
+
+    fn try_permit(&self) -> Option<Permit> {
+        match Arc::clone(&self.permits).try_acquire_owned() {
+            Ok(permit) => Some(Permit { _permit: permit, _share: None }),
+            Err(_) => self.extra.as_ref()?.try_take(),
+        }
     }
 
     /// Returns what the port did when it was full, if there is something to report and the last report was a
@@ -119,7 +177,8 @@
     /// Notified when the connection is to be closed.
     closing: Arc<Notify>,
     state: Mutex<State>,
-    _permit: OwnedSemaphorePermit,
+    /// Present until the connection ends.
+    permit: Option<Permit>,
 }
 
 #[derive(Debug)]
@@ -173,6 +232,8 @@
             // A connection that was taken to be closed has no place any more.
             let _ = self.port.waiting().end(place);
         }
+        self.permit = None;
+        self.port.released.notify_waiters();
     }
 }
 
--- a/toucanhoist-edge/src/host.rs
+++ b/toucanhoist-edge/src/host.rs
@@ -145,7 +145,7 @@
         let port = Port::new("metrics", allotment.checks);
         let journal = Arc::clone(&shared.journal);
         tokio::spawn(directory::serve_metrics(listeners.metrics, port, journal));
-        let port = Port::new("callers", allotment.callers);
+        let port = Port::for_callers(&allotment, &shared.memory);
         let gateway = tokio::spawn(gateway::serve(listeners.callers, port, Arc::clone(&shared)));
         shared.journal.note(
             Event::Started,
--- a/toucanhoist-edge/tests/connections.rs
+++ b/toucanhoist-edge/tests/connections.rs
@@ -7,6 +7,7 @@
 
 use {
     tokio::time,
+    toucanhoist_core::{machine::Machine, memory::Budget},
     toucanhoist_edge::connections::{Port, Slot},
 };
 
@@ -84,3 +85,31 @@
         () = closing => {}
     }
 }
+
+/// On a small machine some connections take their memory from the budget of callers, as far as it reaches.
+#[tokio::test]
+async fn further_connections_are_admitted_while_the_budget_has_room() {
+    let machine = Machine { memory: 160_000_000, descriptors: 4_100 };
+    let allotment = machine.allotment();
+    let memory = Budget::new(allotment.held);
+    let port = Port::for_callers(&allotment, &memory);
+    let mut slots = Vec::new();
+    for _ in 0..allotment.callers {
+        slots.push(admit(&port).await.expect("room"));
+    }
+    assert!(memory.held() > 0 && allotment.held - memory.held() >= machine.memory / 64 * 15);
+    // All have requests, so the next one is refused.
+    let busy: Vec<_> = slots.iter().map(|slot| slot.begin().expect("not closed")).collect();
+    assert!(admit(&port).await.is_none());
+    drop(busy);
+    drop(slots);
+    assert_eq!(memory.held(), 0);
+    // A body of the largest size leaves no room for them, but for the others.
+    let _body = memory.take(allotment.held).expect("room");
+    let mut slots = Vec::new();
+    for _ in 0..allotment.callers_assured {
+        slots.push(admit(&port).await.expect("room"));
+    }
+    let _busy: Vec<_> = slots.iter().map(|slot| slot.begin().expect("not closed")).collect();
+    assert!(admit(&port).await.is_none());
+}
