Read names that the platform hands over as any text

What callers saw: a version of the configuration with an account called `Beratung-Chur` never came into force. The key that it withdrew went on working, and that of the new account got 401.

Cause: `id` checks every name against the pattern of our own documents (63 bytes of `a-z`, `0-9`, `-`, `_`, `.`), also where it decodes what the users' platform holds. The platform limits a row's name to 200 bytes and the names in a configuration not at all. The same check stood on every path that a name takes: service, home region and split of the configuration, service and data centre of a target, the key of a target's, a host's or an evacuation's row (an evacuation of `Bern-A` was left out), settings of a host, messages of the failure detector, limits, suspicions, tokens and tunnels.

Change: names have a second constructor, `from_text`, and a serde adapter, `id::Text`, which bound them in bytes only; what comes from the platform or from another host is read with these.

Wider names reach places that could not be reached before:

- a name that no header can carry (control characters, blanks at its ends, which receivers trim) was left out of the request without a word, so a target would have run it for nobody, or without the guard against an address that is used again.
Requests of such an account are refused at once, 503 `account-unusable`, not run; such a target is not used, with a line `entry-unreadable`.
- the directory compares percent-encoded names as they are meant.
- labels of metrics are shortened as values in the log are.

Not in this change: one value of another kind that cannot be read still costs the whole version.

--- a/toucanhoist-core/src/id.rs
+++ b/toucanhoist-core/src/id.rs
@@ -1,20 +1,32 @@
 /*!
 Identifiers.
 
-Operators choose names: 1 to 63 characters of `a-z`, `0-9`, `-`, `_` and `.`. The system assigns
-numbers.
+Operators choose names: 1 to 63 characters of `a-z`, `0-9`, `-`, `_` and `.`. Parsing and
+deserialisation check this, so that a document of the product's own says what is mistyped. Names
+that a platform hands over are any text, bounded in bytes: [`Text`] and the names' `from_text` read
+these. The system assigns numbers.
 */
 
 use std::{borrow::Cow, fmt, str::FromStr};
 
 use {
     schemars::{JsonSchema, Schema, SchemaGenerator, json_schema},
-    serde_with::{DeserializeFromStr, SerializeDisplay},
+    serde::{Deserialize, Deserializer, Serializer, de},
+    serde_with::{DeserializeAs, DeserializeFromStr, SerializeAs, SerializeDisplay},
 };
 
 use crate::Error;
 
 const NAME_MAX_BYTES: usize = 63;
+/// Bytes of a name that a platform hands over. A name travels in a header of a request and in
+/// datagrams between hosts.
+const TEXT_MAX_BYTES: usize = 16 * 1_024;
+/// Characters that an error shows of a name that is too long.
+const SHOWN_MAX_CHARS: usize = 40;
+
+/// Serialises names as text, whatever their characters.
+#[derive(Debug)]
+pub enum Text {}
 
 macro_rules! names {
     ($($(#[$doc:meta])* $name:ident)*) => {$(
@@ -25,12 +37,45 @@
         pub struct $name(Box<str>);
 
         impl $name {
+            /// Creates a name of any characters.
+            ///
+            /// # Errors
+            ///
+            /// The text is empty or too long.
+            pub fn from_text(text: &str) -> Result<$name, Error> {
+                check_length(text)?;
+                Ok($name(text.into()))
+            }
+
+            /// Whether a header can carry the name: it has no control characters but tabs, and no
+            /// blanks at its ends, which receivers remove (RFC 9110, section 5.5).
+            pub fn fits_header(&self) -> bool {
+                let is_blank = |byte: &u8| matches!(byte, b' ' | b'\t');
+                let bytes = self.0.as_bytes();
+                let has_controls = bytes.iter().any(|byte| byte.is_ascii_control() && *byte != b'\t');
+                !has_controls && !bytes.first().is_some_and(is_blank)
+                    && !bytes.last().is_some_and(is_blank)
+            }
+
             /// Returns the name's text.
             pub fn as_str(&self) -> &str {
                 &self.0
             }
         }
 
+        impl SerializeAs<$name> for Text {
+            fn serialize_as<S: Serializer>(name: &$name, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.serialize_str(&name.0)
+            }
+        }
+
+        impl<'de> DeserializeAs<'de, $name> for Text {
+            fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<$name, D::Error> {
+                let text = Cow::<str>::deserialize(deserializer)?;
+                $name::from_text(&text).map_err(de::Error::custom)
+            }
+        }
+
         impl FromStr for $name {
             type Err = Error;
 
@@ -72,6 +117,17 @@
     Target
 }
 
+fn check_length(text: &str) -> Result<(), Error> {
+    match text.len() {
+        1..=TEXT_MAX_BYTES => Ok(()),
+        0 => Err(Error::unit(text, "a name of 1 byte or more")),
+        _ => {
+            let shown: String = text.chars().take(SHOWN_MAX_CHARS).collect();
+            Err(Error::unit(&shown, "a name of 16 KiB at most"))
+        }
+    }
+}
+
 fn is_name(text: &str) -> bool {
     let allowed = |b: u8| matches!(b, b'a'..=b'z' | b'0'..=b'9' | b'-' | b'_' | b'.');
     (1..=NAME_MAX_BYTES).contains(&text.len()) && text.bytes().all(allowed)
--- a/toucanhoist-core/src/refusal.rs
+++ b/toucanhoist-core/src/refusal.rs
@@ -122,6 +122,8 @@
     Leaving "leaving" 503 "This entry host is leaving"
     /// The host cannot verify keys.
     KeysStale "keys-stale" 503 "This entry host cannot verify keys at present"
+    /// The entry of the key's account in the configuration cannot be used.
+    AccountUnusable "account-unusable" 503 "The account of the key cannot be served at present"
     /// The platform's store does not accept the submission.
     StoreUnavailable "store-unavailable" 503 "The submission cannot be recorded at present"
     /// The request is quarantined because it crashes targets.
--- a/toucanhoist-core/src/steering/config.rs
+++ b/toucanhoist-core/src/steering/config.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use serde::{Deserialize, Serialize};
+use {
+    serde::{Deserialize, Serialize},
+    serde_with::serde_as,
+};
 
 use crate::{
     id,
@@ -25,9 +28,11 @@
 }
 
 /// Terms that apply to the targets of a service.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ServiceTerms {
     /// Name.
+    #[serde_as(as = "id::Text")]
     pub name: id::Service,
     /// Connections that a target accepts from all hosts together.
     pub connections_max: u32,
@@ -63,9 +68,11 @@
 }
 
 /// Terms agreed with a client account.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct AccountTerms {
     /// Name.
+    #[serde_as(as = "id::Text")]
     pub name: id::Account,
     /// Digests of its keys.
     pub keys: Vec<Digest>,
@@ -76,6 +83,7 @@
     /// Requests beyond the rate.
     pub burst: f64,
     /// Regions that may serve it; empty for all.
+    #[serde_as(as = "Vec<id::Text>")]
     pub homes: Vec<id::Region>,
 }
 
@@ -89,6 +97,7 @@
 }
 
 /// A route: paths with a prefix go to a service.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Route {
     /// Name.
@@ -112,13 +121,16 @@
     /// Whether targets are faster with an object that they handled recently.
     pub affinity: bool,
     /// Regions that may serve it; empty for all.
+    #[serde_as(as = "Vec<id::Text>")]
     pub homes: Vec<id::Region>,
 }
 
 /// A service with its share of a route's requests.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Part {
     /// Service.
+    #[serde_as(as = "id::Text")]
     pub service: id::Service,
     /// Weight among the services of the route.
     pub weight: f64,
--- a/toucanhoist-core/src/steering/entry.rs
+++ b/toucanhoist-core/src/steering/entry.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use serde::{Deserialize, Serialize};
+use {
+    serde::{Deserialize, Serialize},
+    serde_with::serde_as,
+};
 
 use super::{Config, Version};
 use crate::id;
@@ -47,16 +50,17 @@
 }
 
 /// Name of an entry.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Key {
     /// The configuration.
     Config,
     /// Evacuation of a data centre.
-    Evacuation(id::DataCentre),
+    Evacuation(#[serde_as(as = "id::Text")] id::DataCentre),
     /// A target.
-    Target(id::Target),
+    Target(#[serde_as(as = "id::Text")] id::Target),
     /// An entry host.
-    Host(id::EntryHost),
+    Host(#[serde_as(as = "id::Text")] id::EntryHost),
 }
 
 impl Key {
@@ -105,13 +109,16 @@
 }
 
 /// A target as it registered itself.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Target {
     /// Service that it runs.
+    #[serde_as(as = "id::Text")]
     pub service: id::Service,
     /// Address.
     pub address: SocketAddr,
     /// Data centre that it is in.
+    #[serde_as(as = "id::Text")]
     pub data_centre: id::DataCentre,
     /// Requests that it runs at the same time.
     pub slots: u32,
@@ -124,9 +131,11 @@
 }
 
 /// An entry host as it registered itself.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EntryHost {
     /// Data centre that it is in.
+    #[serde_as(as = "id::Text")]
     pub data_centre: id::DataCentre,
     /// Address for callers.
     pub callers: SocketAddr,
--- a/toucanhoist-edge/src/directory.rs
+++ b/toucanhoist-edge/src/directory.rs
@@ -1,11 +1,12 @@
 //! Serves the directory of entry hosts to callers, the readiness check, and the metrics.
 
-use std::{future, net::SocketAddr, sync::Arc, time::Duration};
+use std::{borrow::Cow, future, net::SocketAddr, sync::Arc, time::Duration};
 
 use {
     http::{Request, Response, StatusCode, header},
     http_body_util::Full,
     hyper::body::Incoming,
+    percent_encoding::percent_decode_str,
     serde_json::{Map, Value},
     tokio::net::TcpListener,
     toucanhoist_core::{
@@ -82,9 +83,11 @@
         return server::empty(StatusCode::NOT_FOUND);
     }
     let query = request.uri().query().unwrap_or_default();
-    let region = parameter(query, &names.region).and_then(|region| region.parse().ok());
+    let region = parameter(query, &names.region);
+    let region = region.and_then(|region| id::Region::from_text(&region).ok());
     let region = region.or_else(|| {
-        let data_centre = parameter(query, &names.data_centre)?.parse().ok()?;
+        let data_centre = parameter(query, &names.data_centre)?;
+        let data_centre = id::DataCentre::from_text(&data_centre).ok()?;
         shared.settings.regions.get(&data_centre).cloned()
     });
     let own = is_ready(shared).then_some(shared.settings.listen.callers);
@@ -138,6 +141,8 @@
 /// Capacity of a host's machine, and the host's address for callers.
 type Candidate = (u32, SocketAddr);
 
-fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+/// Returns the text of a parameter; `None` if it is missing or not UTF-8.
+fn parameter<'a>(query: &'a str, name: &str) -> Option<Cow<'a, str>> {
+    let value = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))?;
+    percent_decode_str(value).decode_utf8().ok()
 }
--- a/toucanhoist-edge/src/fleet/publish.rs
+++ b/toucanhoist-edge/src/fleet/publish.rs
@@ -65,11 +65,15 @@
     /// Returns a target's entry; `None` if there is none that can be used.
     fn usable_target(&self, key: &Key, name: &id::Target) -> Option<Target> {
         let Some(Value::Target(target)) = self.mirror.registry().value(key) else { return None };
-        // Requests to an entry host would be forwarded within the fleet again and again.
-        if !self.host_addresses.contains(&target.address) {
+        let reason = if self.host_addresses.contains(&target.address) {
+            // Its requests would be forwarded within the fleet again and again.
+            format!("{} is the address of an entry host", target.address)
+        } else if !name.fits_header() {
+            // Requests have to say which target they are for.
+            "no header can carry the name".to_owned()
+        } else {
             return Some(target.clone());
-        }
-        let reason = format!("{} is the address of an entry host", target.address);
+        };
         self.parts.journal.note(
             Event::EntryUnreadable,
             &[("topic", &Topic::Targets.as_str()), ("entry", name), ("reason", &reason)],
--- a/toucanhoist-edge/src/gateway/attempt.rs
+++ b/toucanhoist-edge/src/gateway/attempt.rs
@@ -31,6 +31,7 @@
 use crate::{
     headers::strip_hop_by_hop,
     held::Content,
+    journal::shortened,
     steer::{Decision, Input, Lease},
     target::{self, Cause},
 };
@@ -153,6 +154,12 @@
 ) -> Next {
     let ticket = lease.ticket().clone();
     attempts.targets.push(ticket.target.clone());
+    // Without its name, a target that has taken over the address of another one would run the request.
+    let Ok(expected) = HeaderValue::from_bytes(ticket.target.as_str().as_bytes()) else {
+        lease.end(Outcome::Unsent);
+        let detail = format!("no header can carry the name of target {}", ticket.target);
+        return Next::Refuse(Refusal::not_run(Code::NoRoom, detail).retry_after(SHED_RETRY_AFTER));
+    };
     let sent = Instant::now();
     log_send(shared, request, &ticket, attempts);
     let exchange = target::Exchange {
@@ -167,7 +174,7 @@
         clock: shared.clock,
         fresh_after: shared.clock.instant(ticket.fresh_after),
     };
-    let outcome = shared.targets.run(exchange, || build(shared, request, &ticket.target)).await;
+    let outcome = shared.targets.run(exchange, || build(shared, request, &expected)).await;
     match &outcome {
         Ok(answer) => {
             lease.set_via(answer.via.clone());
@@ -347,8 +354,8 @@
     });
 }
 
-/// Builds the request that is sent to a target.
-fn build(shared: &Shared, request: &Admitted, target: &id::Target) -> Request<Content> {
+/// Builds the request that is sent to the target with the name `expected`.
+fn build(shared: &Shared, request: &Admitted, expected: &HeaderValue) -> Request<Content> {
     let dialect = &shared.dialect;
     let mut built = Request::new(request.body.clone());
     *built.method_mut() = request.head.method.clone();
@@ -368,15 +375,10 @@
     }
     let remaining = request.deadline.saturating_duration_since(Instant::now());
     headers.insert(dialect.remaining_ms.clone(), HeaderValue::from(remaining.as_millis() as u64));
-    let mut set_header = |name: &http::HeaderName, value: &str| {
-        if let Ok(value) = HeaderValue::from_str(value) {
-            headers.insert(name.clone(), value);
-        }
-    };
-    set_header(&dialect.request_id, &request.id);
-    set_header(&dialect.expected_target, target.as_str());
-    if let Some(account) = &request.account {
-        set_header(&dialect.account, account.name.as_str());
+    headers.insert(dialect.request_id.clone(), request.id_header.clone());
+    headers.insert(dialect.expected_target.clone(), expected.clone());
+    if let Some(account) = &request.account_header {
+        headers.insert(dialect.account.clone(), account.clone());
     }
     built
 }
@@ -460,11 +462,11 @@
             ("micros", &took.as_micros()),
         ],
     );
-    let service = request.service.to_string();
+    let service = shortened(request.service.as_str()).to_owned();
     let outcome = if status.is_success() { "success" } else { "failure" };
     metrics::counter!(
         "toucanhoist_answers_total",
-        "service" => service.clone(), "account" => account.to_owned(), "outcome" => outcome
+        "service" => service.clone(), "account" => shortened(account).to_owned(), "outcome" => outcome
     )
     .increment(1);
     metrics::histogram!("toucanhoist_answer_seconds", "service" => service)
--- a/toucanhoist-edge/src/gateway/request.rs
+++ b/toucanhoist-edge/src/gateway/request.rs
@@ -47,11 +47,15 @@
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Retry-After` of a host that has no configuration yet.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// `Retry-After` of requests whose account cannot be served until an operator changes the configuration.
+const ACCOUNT_RETRY_AFTER: Duration = Duration::from_secs(5);
 
 /// A request that has a route and an account, and may be sent to targets.
 pub(super) struct Admitted {
     /// Identifier, from the caller or generated.
     pub id: Box<str>,
+    /// The identifier as the value of a header.
+    pub id_header: HeaderValue,
     /// Route that it matches.
     pub route: Arc<Route>,
     /// Revision of the configuration that it was admitted under.
@@ -60,6 +64,8 @@
     pub service: id::Service,
     /// Client account; `None` where the route or the configuration needs none.
     pub account: Option<Arc<AccountTerms>>,
+    /// Name of the client account as the value of a header.
+    pub account_header: Option<HeaderValue>,
     /// Regions that may serve it; empty for all.
     pub homes: Vec<id::Region>,
     /// Hash of the object that it is about, on routes with affinity.
@@ -295,6 +301,7 @@
     if account.is_none() && !route.open && routes.has_accounts() {
         return Err(Refusal::not_run(Code::KeyRefused, "the request carries no valid key"));
     }
+    let account_header = account.as_deref().map(account_header).transpose()?;
     let service = route
         .service(rand::random())
         .cloned()
@@ -311,10 +318,14 @@
         .map(|object| XxHash64::oneshot(0, object.as_bytes()) ^ route_hash(&route.name));
     Ok(Admitted {
         id: id.into(),
+        id_header: HeaderValue::from_str(id).map_err(|_| {
+            Refusal::not_run(Code::BadRequest, "no header can carry the identifier")
+        })?,
         route: Arc::clone(route),
         revision: routes.config().revision,
         service,
         account,
+        account_header,
         homes,
         object,
         fingerprint: Fingerprint::default(),
@@ -325,6 +336,20 @@
     })
 }
 
+/// Returns the value of the header that names the account to targets.
+///
+/// # Errors
+///
+/// No header can carry the name, so targets would not know whose requests they run.
+fn account_header(account: &AccountTerms) -> Result<HeaderValue, Refusal> {
+    let value = HeaderValue::from_bytes(account.name.as_str().as_bytes());
+    let value = value.ok().filter(|_| account.name.fits_header());
+    value.ok_or_else(|| {
+        Refusal::not_run(Code::AccountUnusable, "no header can carry the name of the account")
+            .retry_after(ACCOUNT_RETRY_AFTER)
+    })
+}
+
 /// Returns the fingerprint of a request whose body has been read.
 fn fingerprint(request: &Admitted) -> Fingerprint {
     let head = &request.head;
--- a/toucanhoist-edge/src/peers/tunnel.rs
+++ b/toucanhoist-edge/src/peers/tunnel.rs
@@ -142,9 +142,10 @@
     ) -> Result<(TcpStream, OwnedSemaphorePermit), Failure> {
         let authority = request.uri().authority().and_then(|text| text.as_str().parse().ok());
         let address: SocketAddr = authority.ok_or(Failure::NoPath)?;
-        let target = request.headers().get(TARGET).and_then(|text| text.to_str().ok());
-        let target: id::Target =
-            target.and_then(|target| target.parse().ok()).ok_or(Failure::NoPath)?;
+        // Names have any characters, which `to_str` does not allow.
+        let target = request.headers().get(TARGET).ok_or(Failure::NoPath)?;
+        let target = std::str::from_utf8(target.as_bytes()).map_err(|_| Failure::NoPath)?;
+        let target = id::Target::from_text(target).map_err(|_| Failure::NoPath)?;
         if *self.phase.borrow() != Phase::Serving {
             return Err(Failure::NoHelper);
         }
--- a/toucanhoist-edge/src/settings.rs
+++ b/toucanhoist-edge/src/settings.rs
@@ -26,13 +26,17 @@
 const BYTES_PER_MB: f64 = 1e6;
 
 /// Settings of one entry host.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Settings {
     /// Name of the entry host.
+    #[serde_as(as = "id::Text")]
     pub name: id::EntryHost,
     /// Data centre that it is in.
+    #[serde_as(as = "id::Text")]
     pub data_centre: id::DataCentre,
     /// Regions of all data centres.
+    #[serde_as(as = "BTreeMap<id::Text, id::Text>")]
     pub regions: BTreeMap<id::DataCentre, id::Region>,
     /// Addresses that it listens on.
     pub listen: Listen,
--- a/toucanhoist-edge/src/steer.rs
+++ b/toucanhoist-edge/src/steer.rs
@@ -35,7 +35,7 @@
 use self::accounts::Accounts;
 use crate::{
     clock::Clock,
-    journal::{Field, Journal},
+    journal::{Field, Journal, shortened},
     peers::{self, Received},
     settings, target,
 };
@@ -497,7 +497,7 @@
             let decision = match placement {
                 Placement::Send(ticket) => {
                     if ticket.limit.is_some() {
-                        let service = ticket.service.to_string();
+                        let service = shortened(ticket.service.as_str()).to_owned();
                         metrics::counter!("toucanhoist_limited_sends_total", "service" => service)
                             .increment(1);
                     }
--- a/toucanhoist-edge/src/steer/accounts.rs
+++ b/toucanhoist-edge/src/steer/accounts.rs
@@ -182,7 +182,7 @@
 
     /// Gives tokens to another host that asks for them.
     pub(super) fn give_tokens(&mut self, now: Time, from: SocketAddr, ask: TokensAsk) {
-        let Ok(name) = ask.account.parse::<id::Account>() else { return };
+        let Ok(name) = id::Account::from_text(&ask.account) else { return };
         let Some(account) = self.accounts.get_mut(&name) else { return };
         let (tokens, left) = account.give(now, ask.tokens);
         let TokensAsk { question, account, .. } = ask;
@@ -192,7 +192,7 @@
 
     /// Accepts tokens that another host gave.
     pub(super) fn take_tokens(&mut self, now: Time, given: &TokensGiven) {
-        let Ok(name) = given.account.parse::<id::Account>() else { return };
+        let Ok(name) = id::Account::from_text(&given.account) else { return };
         let Some(account) = self.accounts.get_mut(&name) else { return };
         let verdicts = account.accept(now, given.question, given.tokens, given.left);
         self.deliver(verdicts);
--- a/toucanhoist-edge/tests/edge.rs
+++ b/toucanhoist-edge/tests/edge.rs
@@ -28,6 +28,8 @@
 mod malformed;
 #[path = "edge/odd_entries.rs"]
 mod odd_entries;
+#[path = "edge/odd_names.rs"]
+mod odd_names;
 #[path = "edge/restore.rs"]
 mod restore;
 #[path = "edge/status.rs"]
--- a/toucanhoist-edge/tests/support/mod.rs
+++ b/toucanhoist-edge/tests/support/mod.rs
@@ -121,6 +121,11 @@
         self.content.borrow().rows.get(key)?.1.clone()
     }
 
+    /// Returns the number of entry hosts that have registered.
+    pub fn registered(&self) -> usize {
+        self.content.borrow().rows.keys().filter(|key| key.topic() == Topic::Hosts).count()
+    }
+
     fn check(&self) -> Result<(), Error> {
         self.calls.fetch_add(1, Ordering::Relaxed);
         match self.is_unavailable.load(Ordering::Relaxed) {
--- a/toucanhoist-wire/src/convert/room.rs
+++ b/toucanhoist-wire/src/convert/room.rs
@@ -28,7 +28,7 @@
     ///
     /// The field does not hold a valid name.
     pub fn host(&self) -> Result<id::EntryHost, Error> {
-        self.host.parse().map_err(|_| Error::field("host"))
+        id::EntryHost::from_text(&self.host).map_err(|_| Error::field("host"))
     }
 }
 
@@ -68,7 +68,7 @@
             message::Stage::Held => quarantine::Stage::Held,
             message::Stage::Released => quarantine::Stage::Released,
         };
-        let targets = message.targets.iter().map(|target| target.parse());
+        let targets = message.targets.iter().map(|target| id::Target::from_text(target));
         Ok(quarantine::Report {
             fingerprint: message.fingerprint.into(),
             stage,
@@ -107,7 +107,7 @@
 
     fn try_from(message: message::Echo) -> Result<room::Echo, Error> {
         Ok(room::Echo {
-            host: message.host.parse().map_err(|_| Error::field("host"))?,
+            host: id::EntryHost::from_text(&message.host).map_err(|_| Error::field("host"))?,
             incarnation: Incarnation(message.incarnation),
             number: message.number,
         })
@@ -132,7 +132,8 @@
 
     fn try_from(message: message::Load) -> Result<room::Load, Error> {
         Ok(room::Load {
-            service: message.service.parse().map_err(|_| Error::field("service"))?,
+            service: id::Service::from_text(&message.service)
+                .map_err(|_| Error::field("service"))?,
             slots: message.slots,
             free: message.free.min(message.slots),
             queued: message.queued,
@@ -177,7 +178,7 @@
 
     fn try_from(message: message::Hold) -> Result<room::Hold, Error> {
         Ok(room::Hold {
-            target: message.target.parse().map_err(|_| Error::field("target"))?,
+            target: id::Target::from_text(&message.target).map_err(|_| Error::field("target"))?,
             claim: message.claim().into(),
             running: message.running,
         })
--- a/toucanhoist-wire/src/convert/steering.rs
+++ b/toucanhoist-wire/src/convert/steering.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use toucanhoist_core::{
+    id,
     steering::{LimitReport, Observations, Tag, Version, limit::Statement},
     unit::Rate,
 };
@@ -63,7 +64,7 @@
             return Err(Error::field("limit"));
         }
         Ok(LimitReport {
-            target: target.parse().map_err(|_| Error::field("target"))?,
+            target: id::Target::from_text(&target).map_err(|_| Error::field("target"))?,
             statement: Statement {
                 born,
                 version,
--- a/toucanhoist-wire/src/member.rs
+++ b/toucanhoist-wire/src/member.rs
@@ -54,7 +54,7 @@
     fn try_from(member: wire::Member) -> Result<core::Member, Error> {
         let state = wire::State::try_from(member.state).map_err(|_| Error::field("state"))?;
         Ok(core::Member {
-            name: member.name.parse().map_err(|_| Error::field("name"))?,
+            name: id::EntryHost::from_text(&member.name).map_err(|_| Error::field("name"))?,
             incarnation: core::Incarnation(member.incarnation),
             data_centre: data_centre(&member.data_centre)?,
             callers: member.callers.into(),
@@ -138,7 +138,7 @@
 }
 
 fn data_centre(name: &str) -> Result<id::DataCentre, Error> {
-    name.parse().map_err(|_| Error::field("data_centre"))
+    id::DataCentre::from_text(name).map_err(|_| Error::field("data_centre"))
 }
 
 fn data_centres(names: &[String]) -> Result<Vec<id::DataCentre>, Error> {
