Let a value of the configuration that cannot be read cost only itself

The withdrawn key went on working, and the routes that the version removed went on being served, for as long as nobody wrote another version.

Cause: the adapter decoded the configuration with a derived decoder, which is all or nothing, and `Registry` keeps the former configuration when the new one is `Unreadable`. So any value outside of a type's range or form, or a `null`, cost the version and all that it takes away.

Change: each value is decoded by itself (`platform::value`). In short: whatever is there to restrict callers stays closed (keys required, home regions, services of a route, repeating), and the entry's own requests are refused at once, 503 and not run, where it cannot be served (`account-unusable`). Numbers beyond their range count as the largest, and are such that sums of times and weights cannot overflow. When not even the JSON or the number of the version can be read, the former one stays: `configuration-unreadable` (4017, error) and `toucanhoist_configuration_unreadable`; the host stays ready.

--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -39,8 +39,8 @@
 /// Content of the store.
 #[derive(Clone, Debug, Default)]
 pub struct Rows {
-    /// Version and value by table and key; removed rows have no value.
-    rows: BTreeMap<(String, String), (u64, Option<Value>)>,
+    /// Version and text by table and key; removed rows have no text.
+    rows: BTreeMap<(String, String), (u64, Option<String>)>,
     version: u64,
     /// Number of restores from a backup.
     era: u64,
@@ -50,8 +50,8 @@
 #[derive(Debug)]
 pub struct Store {
     rows: Mutex<Rows>,
-    /// Last value of each row that operators and targets wrote.
-    written: Mutex<BTreeMap<(String, String), Option<Value>>>,
+    /// Last text of each row that operators and targets wrote.
+    written: Mutex<BTreeMap<(String, String), Option<String>>>,
     changed: watch::Sender<u64>,
     fault: Mutex<Fault>,
 }
@@ -98,17 +98,22 @@
 
     /// Writes a row of an operator or a target, or removes it.
     pub fn put(&self, table: &str, key: &str, value: Option<Value>) {
+        self.put_text(table, key, value.map(|value| value.to_string()));
+    }
+
+    /// Writes a row of an operator or a target that may be no JSON, or removes it.
+    pub fn put_text(&self, table: &str, key: &str, text: Option<String>) {
         let name = (table.to_owned(), key.to_owned());
         let mut written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
-        written.insert(name.clone(), value.clone());
-        self.write(name, value);
+        written.insert(name.clone(), text.clone());
+        self.write(name, text);
     }
 
-    fn write(&self, name: (String, String), value: Option<Value>) {
+    fn write(&self, name: (String, String), text: Option<String>) {
         let mut rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
         rows.version += 1;
         let version = rows.version;
-        rows.rows.insert(name, (version, value));
+        rows.rows.insert(name, (version, text));
         self.changed.send_replace(version);
     }
 
@@ -129,9 +134,9 @@
     pub fn rewrite_lost(&self) {
         let written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
         let present = self.backup().rows;
-        for (name, value) in written.iter() {
-            if present.get(name).and_then(|(_, value)| value.as_ref()) != value.as_ref() {
-                self.write(name.clone(), value.clone());
+        for (name, text) in written.iter() {
+            if present.get(name).and_then(|(_, text)| text.as_ref()) != text.as_ref() {
+                self.write(name.clone(), text.clone());
             }
         }
     }
@@ -171,13 +176,13 @@
     fn page(&self, table: &str, after: u64, with_removed: bool) -> Value {
         let rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
         let mut selected: Vec<(u64, Value)> = Vec::new();
-        for ((row_table, key), (version, value)) in &rows.rows {
-            if row_table != table || *version <= after || (value.is_none() && !with_removed) {
+        for ((row_table, key), (version, text)) in &rows.rows {
+            if row_table != table || *version <= after || (text.is_none() && !with_removed) {
                 continue;
             }
-            let text = value.as_ref().map(|value| BASE64_STANDARD.encode(value.to_string()));
+            let value = text.as_ref().map(|text| BASE64_STANDARD.encode(text));
             let row = json!({"table": table, "part": "", "key": key, "objectVersion": version,
-                "value": text, "removed": value.is_none()});
+                "value": value, "removed": text.is_none()});
             selected.push((*version, row));
         }
         selected.sort_by_key(|(version, _)| *version);
@@ -214,7 +219,7 @@
         for put in transaction["puts"].as_array().into_iter().flatten() {
             let text = put["value"].as_str().unwrap_or_default();
             let value = BASE64_STANDARD.decode(text).ok();
-            let value = value.and_then(|value| serde_json::from_slice(&value).ok());
+            let value = value.and_then(|value| String::from_utf8(value).ok());
             let text = |name: &str| put[name].as_str().unwrap_or_default().to_owned();
             self.write((text("table"), text("key")), value);
         }
--- a/toucanhoist-core/src/event.rs
+++ b/toucanhoist-core/src/event.rs
@@ -177,6 +177,10 @@
     StoreFollowed 4014 Info "store-followed"
     /// An entry of the store is not valid, and is not used.
     EntryUnreadable 4015 Warn "entry-unreadable"
+    /// A value in a configuration cannot be read; the rest of the version is in force.
+    ValueUnreadable 4016 Warn "value-unreadable"
+    /// A version of the configuration cannot be read at all; the former one stays in force.
+    ConfigurationUnreadable 4017 Error "configuration-unreadable"
     /// The state of a member changed.
     MemberChanged 4101 Info "member-changed"
     /// The configuration was taken from other entry hosts, as the platform could not be read yet.
--- a/toucanhoist-core/src/steering/config.rs
+++ b/toucanhoist-core/src/steering/config.rs
@@ -1,6 +1,10 @@
 //! The operators' configuration of routes by host name, services and client accounts.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use {
     serde::{Deserialize, Serialize},
@@ -25,6 +29,15 @@
     pub accounts: Vec<AccountTerms>,
     /// Host names with their routes.
     pub hosts: Vec<Host>,
+    /// Whether requests need a key although no account can be used.
+    #[serde(default)]
+    pub requires_keys: bool,
+    /// Digests of the keys of accounts whose entries cannot be used.
+    #[serde(default)]
+    pub unusable_keys: Vec<Digest>,
+    /// Whether there are routes of which none can be read.
+    #[serde(default)]
+    pub routes_unreadable: bool,
 }
 
 /// Terms that apply to the targets of a service.
@@ -158,6 +171,7 @@
     hosts: HashMap<Box<str>, Vec<Arc<Route>>>,
     accounts: HashMap<id::Account, Arc<AccountTerms>>,
     keys: Ring,
+    unusable_keys: HashSet<Digest>,
 }
 
 impl Routes {
@@ -177,7 +191,8 @@
             }
             accounts.insert(account.name.clone(), Arc::new(account.clone()));
         }
-        Routes { config, hosts, accounts, keys }
+        let unusable_keys = config.unusable_keys.iter().copied().collect();
+        Routes { config, hosts, accounts, keys, unusable_keys }
     }
 
     /// Returns the configuration.
@@ -197,8 +212,13 @@
     }
 
     /// Whether requests on routes that are not open need a key.
-    pub fn has_accounts(&self) -> bool {
-        !self.accounts.is_empty()
+    pub fn requires_keys(&self) -> bool {
+        self.config.requires_keys || !self.accounts.is_empty()
+    }
+
+    /// Whether a key belongs to an account whose entry cannot be used.
+    pub fn is_unusable(&self, key: &[u8]) -> bool {
+        !self.unusable_keys.is_empty() && self.unusable_keys.contains(&Digest::of(key))
     }
 
     /// Returns the account of a key.
--- a/toucanhoist-edge/src/fleet/notifications.rs
+++ b/toucanhoist-edge/src/fleet/notifications.rs
@@ -8,13 +8,18 @@
         clock::Time,
         event::Event,
         membership::State,
-        steering::{Arrival, Topic, Update, Version, Way},
+        steering::{Arrival, Entry, Key, Topic, Update, Value, Version, Way},
     },
 };
 
 use super::{Task, exchange};
-use crate::store::{Batch, Error, Notification};
+use crate::{
+    journal::Field,
+    store::{Batch, Error, Fault, Notification},
+};
 
+/// Values of one answer that are logged one by one.
+const FAULT_LINES_MAX: usize = 20;
 /// Number of hosts whose snapshots are requested after the store was restored from a backup.
 const RESTORE_SNAPSHOTS: usize = 3;
 
@@ -22,13 +27,13 @@
     /// Handles a notification from the store.
     pub(super) fn handle_notification(&mut self, now: Time, notification: Notification) {
         let (topic, arrival, version, update) = match notification {
-            Notification::All(topic, Batch { entries, version, unreadable }) => {
-                self.log_unreadable(topic, &unreadable);
+            Notification::All(topic, Batch { entries, version, faults }) => {
+                self.report_faults(topic, &entries, &faults);
                 let arrival = self.arrival(topic, Way::Store);
                 (topic, arrival, version, self.mirror.apply_read(now, topic, version, entries))
             }
-            Notification::Changed(topic, Batch { entries, version, unreadable }) => {
-                self.log_unreadable(topic, &unreadable);
+            Notification::Changed(topic, Batch { entries, version, faults }) => {
+                self.report_faults(topic, &entries, &faults);
                 let arrival = self.arrival(topic, Way::Store);
                 (topic, arrival, version, self.mirror.apply_changes(now, topic, version, entries))
             }
@@ -43,13 +48,38 @@
         }
     }
 
-    fn log_unreadable(&self, topic: Topic, unreadable: &[(Box<str>, Box<str>)]) {
-        for (name, reason) in unreadable {
-            let topic = topic.as_str();
-            self.parts.journal.note(
-                Event::EntryUnreadable,
-                &[("topic", &topic), ("entry", name), ("reason", reason)],
-            );
+    /// Logs and counts what the store's answer holds that cannot be read.
+    fn report_faults(&self, topic: Topic, entries: &[(Key, Entry)], faults: &[Fault]) {
+        let config = entries.iter().rev().find(|(key, _)| *key == Key::Config);
+        let is_unreadable = config.map(|(_, entry)| entry.value == Some(Value::Unreadable));
+        if let Some(is_unreadable) = is_unreadable {
+            metrics::gauge!("toucanhoist_configuration_unreadable")
+                .set(f64::from(u8::from(is_unreadable)));
+        }
+        let topic = topic.as_str();
+        metrics::counter!("toucanhoist_values_unreadable_total", "topic" => topic)
+            .increment(faults.len() as u64);
+        let journal = &self.parts.journal;
+        for Fault { entry, pointer, reason } in faults.iter().take(FAULT_LINES_MAX) {
+            let whole: [Field<'_>; 3] = [("topic", &topic), ("entry", entry), ("reason", reason)];
+            if pointer.is_empty() {
+                journal.note(Event::EntryUnreadable, &whole);
+            } else {
+                let [topic, entry, reason] = whole;
+                journal.note(Event::ValueUnreadable, &[topic, entry, ("pointer", pointer), reason]);
+            }
+        }
+        if let Some(unlogged) = faults.len().checked_sub(FAULT_LINES_MAX).filter(|left| *left > 0) {
+            let reason = format!("{unlogged} further values");
+            journal.note(Event::ValueUnreadable, &[("topic", &topic), ("reason", &reason)]);
+        }
+        if is_unreadable == Some(true) {
+            let current = self.mirror.registry().value(&Key::Config);
+            let revision = match current {
+                Some(Value::Config(config)) => config.revision.to_string(),
+                _ => "none".to_owned(),
+            };
+            journal.note(Event::ConfigurationUnreadable, &[("in_force", &revision)]);
         }
     }
 
--- a/toucanhoist-edge/src/gateway/request.rs
+++ b/toucanhoist-edge/src/gateway/request.rs
@@ -47,8 +47,8 @@
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Retry-After` of a host that has no configuration yet.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// `Retry-After` of requests whose account cannot be served until an operator changes the configuration.
-const ACCOUNT_RETRY_AFTER: Duration = Duration::from_secs(5);
+/// `Retry-After` of requests that cannot be served until an operator changes the configuration.
+const CONFIGURATION_RETRY_AFTER: Duration = Duration::from_secs(5);
 
 /// A request that has a route and an account, and may be sent to targets.
 pub(super) struct Admitted {
@@ -290,17 +290,11 @@
 ) -> Result<Admitted, Refusal> {
     let wait = remaining_time(shared, &head.headers).map(|wait| wait.min(TIMEOUT_MAX));
     let (host, path) = (host(&head), head.uri.path());
-    let route = routes
-        .route(host, path)
-        .ok_or_else(|| Refusal::not_run(Code::UnknownRoute, format!("{host}{path}")))?;
-    let account = match bearer(&head.headers) {
-        _ if route.open || !routes.has_accounts() => None,
-        Some(key) => routes.account(key).cloned(),
-        None => None,
+    let route = routes.route(host, path).ok_or_else(|| no_route(routes, host, path))?;
+    let account = match route.open || !routes.requires_keys() {
+        true => None,
+        false => Some(account_of(routes, &head.headers)?),
     };
-    if account.is_none() && !route.open && routes.has_accounts() {
-        return Err(Refusal::not_run(Code::KeyRefused, "the request carries no valid key"));
-    }
     let account_header = account.as_deref().map(account_header).transpose()?;
     let service = route
         .service(rand::random())
@@ -336,6 +330,37 @@
     })
 }
 
+fn no_route(routes: &Routes, host: &str, path: &str) -> Refusal {
+    if routes.config().routes_unreadable {
+        return Refusal::not_run(Code::NotReady, "the routes of the configuration cannot be read")
+            .retry_after(CONFIGURATION_RETRY_AFTER);
+    }
+    Refusal::not_run(Code::UnknownRoute, format!("{host}{path}"))
+}
+
+/// Returns the account whose key came with a request.
+///
+/// # Errors
+///
+/// No valid key came with it, or the entry of the key's account cannot be used.
+fn account_of(routes: &Routes, headers: &HeaderMap) -> Result<Arc<AccountTerms>, Refusal> {
+    let refused = || Refusal::not_run(Code::KeyRefused, "the request carries no valid key");
+    let key = bearer(headers).ok_or_else(refused)?;
+    if let Some(account) = routes.account(key) {
+        return Ok(Arc::clone(account));
+    }
+    // The key is valid, so the caller must not take it for a withdrawn one.
+    Err(if routes.is_unusable(key) {
+        unusable_account("its entry in the configuration cannot be read")
+    } else {
+        refused()
+    })
+}
+
+fn unusable_account(reason: &str) -> Refusal {
+    Refusal::not_run(Code::AccountUnusable, reason).retry_after(CONFIGURATION_RETRY_AFTER)
+}
+
 /// Returns the value of the header that names the account to targets.
 ///
 /// # Errors
@@ -344,10 +369,7 @@
 fn account_header(account: &AccountTerms) -> Result<HeaderValue, Refusal> {
     let value = HeaderValue::from_bytes(account.name.as_str().as_bytes());
     let value = value.ok().filter(|_| account.name.fits_header());
-    value.ok_or_else(|| {
-        Refusal::not_run(Code::AccountUnusable, "no header can carry the name of the account")
-            .retry_after(ACCOUNT_RETRY_AFTER)
-    })
+    value.ok_or_else(|| unusable_account("no header can carry its name"))
 }
 
 /// Returns the fingerprint of a request whose body has been read.
--- a/toucanhoist-edge/src/store.rs
+++ b/toucanhoist-edge/src/store.rs
@@ -61,8 +61,19 @@
     pub entries: Vec<(Key, Entry)>,
     /// Version up to which the entries are complete.
     pub version: Version,
-    /// Names of rows that are not valid, with the reasons.
-    pub unreadable: Vec<(Box<str>, Box<str>)>,
+    /// What cannot be read of the entries.
+    pub faults: Vec<Fault>,
+}
+
+/// An entry, or a value in one, that cannot be read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// Name of the row.
+    pub entry: Box<str>,
+    /// JSON pointer to the value; empty if nothing of the entry can be used.
+    pub pointer: Box<str>,
+    /// Why it cannot be read.
+    pub reason: Box<str>,
 }
 
 /// Interface to the store.
--- a/toucanhoist-edge/tests/edge.rs
+++ b/toucanhoist-edge/tests/edge.rs
@@ -26,6 +26,8 @@
 mod limits;
 #[path = "edge/malformed.rs"]
 mod malformed;
+#[path = "edge/odd_configuration.rs"]
+mod odd_configuration;
 #[path = "edge/odd_entries.rs"]
 mod odd_entries;
 #[path = "edge/odd_names.rs"]
--- a/toucanhoist-edge/tests/support/mod.rs
+++ b/toucanhoist-edge/tests/support/mod.rs
@@ -446,6 +446,7 @@
                 short,
             ],
         }],
+        ..Config::default()
     }
 }
 
