Read from the store what a host of an earlier build could not read

The new host went on admitting the withdrawn key, although it can read that version: 200 after 3 s, and for good.

Cause: hosts pass on what they have read, here `Unreadable`, with the version up to which it is complete. The new host kept its former configuration, counted the topic as known, and never asked the store.

Change: messages say by which rules their sender reads (`DECODER`). What an earlier build could not read does not advance the topic, and the host follows the store until it has read it itself. Entries that earlier builds cannot decode without loss travel in fields that these ignore. Of two readings of one row the one that could be read holds.

Between hosts of one build nothing changes: no further calls.

--- a/toucanhoist-core/src/id.rs
+++ b/toucanhoist-core/src/id.rs
@@ -47,6 +47,11 @@
                 Ok($name(text.into()))
             }
 
+            /// Whether a document of the product's own may have the name.
+            pub fn is_plain(&self) -> bool {
+                is_name(&self.0)
+            }
+
             /// Whether a header can carry the name: it has no control characters but tabs, and no
             /// blanks at its ends, which receivers remove (RFC 9110, section 5.5).
             pub fn fits_header(&self) -> bool {
--- a/toucanhoist-core/src/steering.rs
+++ b/toucanhoist-core/src/steering.rs
@@ -13,6 +13,7 @@
 mod balancer;
 mod bootstrap;
 mod budget;
+pub mod builds;
 mod catch_up;
 mod changes;
 mod cold;
--- a/toucanhoist-core/src/steering/mirror.rs
+++ b/toucanhoist-core/src/steering/mirror.rs
@@ -12,7 +12,7 @@
 
 use super::{
     Changes, Confirmation, Connectivity, Currency, Entry, Key, Registry, Snapshot, Topic, Version,
-    relay::HEARTBEAT_TIMEOUT,
+    builds::remove_unread, relay::HEARTBEAT_TIMEOUT,
 };
 use crate::clock::Time;
 
@@ -30,6 +30,9 @@
     deferred_since: Option<Time>,
     /// Since when local knowledge overrides entries of a topic in the restored store.
     overridden_since: BTreeMap<Topic, Time>,
+    /// Versions up to which this host has to read topics itself, since a host of an earlier build
+    /// could not.
+    unread: BTreeMap<Topic, Version>,
 }
 
 /// Result of applying an answer of the store.
@@ -210,6 +213,9 @@
     /// Merges another host's snapshot, which was requested at `asked_at`; returns the keys that
     /// changed.
     pub fn merge(&mut self, now: Time, asked_at: Time, mut snapshot: Snapshot) -> BTreeSet<Key> {
+        for (topic, version) in snapshot.remove_unread() {
+            self.record_unread(topic, version);
+        }
         for (topic, version) in &snapshot.versions {
             let known = self.registry.version(*topic);
             if known.is_some_and(|known| known.era < version.era) {
@@ -239,6 +245,30 @@
         self.registry.apply_peer_changes(changes)
     }
 
+    /// Applies changes that a host reports which reads entries by the rules with the number
+    /// `decoder`; returns the keys that changed.
+    pub fn apply_changes_of(&mut self, decoder: u32, mut changes: Changes) -> BTreeSet<Key> {
+        if !remove_unread(decoder, &mut changes) {
+            return self.apply_peer_changes(&changes);
+        }
+        self.record_unread(changes.topic, changes.upto);
+        self.registry.apply_all(&changes.entries)
+    }
+
+    /// Whether this host has to read a topic from the store itself, since a host of an earlier build
+    /// could not.
+    pub fn has_unread(&self) -> bool {
+        let is_unread = |(topic, version): (&Topic, &Version)| {
+            self.registry.version(*topic).is_none_or(|known| known < *version)
+        };
+        self.unread.iter().any(is_unread)
+    }
+
+    fn record_unread(&mut self, topic: Topic, version: Version) {
+        let known = self.unread.entry(topic).or_default();
+        *known = version.max(*known);
+    }
+
     /// Records the heartbeat of a host that the store last answered at a time.
     pub fn record_watcher_heartbeat(&mut self, answered_at: Time) {
         self.connectivity.record_watcher_heartbeat(answered_at);
--- a/toucanhoist-core/src/steering/precedence.rs
+++ b/toucanhoist-core/src/steering/precedence.rs
@@ -17,6 +17,10 @@
         let order = new_config.revision.cmp(&known_config.revision);
         return order.then(new.version.cmp(&known.version)).is_gt();
     }
+    // Of two readings of one row, that of the build that could read it.
+    if new.version == known.version && known.value == Some(Value::Unreadable) {
+        return new.value.is_some() && new.value != known.value;
+    }
     match new.version.era.cmp(&known.version.era) {
         Ordering::Greater => !reverts(known, new),
         Ordering::Less => reverts(new, known),
--- a/toucanhoist-core/src/steering/registry.rs
+++ b/toucanhoist-core/src/steering/registry.rs
@@ -6,6 +6,7 @@
 
 use super::{
     Confirmation, Entry, Era, Key, TargetState, Topic, Value, Version,
+    builds::DECODER,
     deferral::Deferred,
     precedence::{reverts, supersedes},
 };
@@ -275,7 +276,8 @@
             versions: self.advertised_versions(),
             whole,
             disputed: self.disputed.iter().map(|(key, row)| (key.clone(), row.clone())).collect(),
-            confirmed: BTreeMap::new(),
+            decoder: DECODER,
+            ..Snapshot::default()
         }
     }
 
@@ -346,6 +348,15 @@
     /// What the store has confirmed to the host; empty from hosts of earlier versions.
     #[serde(default)]
     pub confirmed: BTreeMap<Topic, Confirmation>,
+    /// In a message, further entries and disputed rows, which earlier builds cannot decode.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub further: Vec<(Key, Entry)>,
+    /// See `further`.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub further_disputed: Vec<(Key, Entry)>,
+    /// Number of the rules by which the host reads entries; 0 from hosts of earlier builds.
+    #[serde(default)]
+    pub decoder: u32,
 }
 
 /// Returns the later of two entries if it is a row of a restored store that lists a target which
--- a/toucanhoist-core/tests/steering.rs
+++ b/toucanhoist-core/tests/steering.rs
@@ -8,6 +8,8 @@
 mod balancer;
 #[path = "steering/budget.rs"]
 mod budget;
+#[path = "steering/builds.rs"]
+mod builds;
 #[path = "steering/catch_up.rs"]
 mod catch_up;
 #[path = "steering/changes.rs"]
--- a/toucanhoist-edge/src/fleet.rs
+++ b/toucanhoist-edge/src/fleet.rs
@@ -282,7 +282,8 @@
     /// Publishes whether this host follows the store, and from which versions.
     fn publish_subscription(&mut self, now: Time) {
         self.relay.set_confirmed(self.mirror.confirmed_at(Topic::Targets));
-        let is_active = self.bootstrap.is_done(now) && self.relay.is_active(now);
+        let follows = self.relay.is_active(now) || self.mirror.has_unread();
+        let is_active = self.bootstrap.is_done(now) && follows;
         if is_active != self.subscription.borrow().is_active {
             let uncovered_ms = self.relay.uncovered(now).as_millis();
             self.parts.journal.note(
--- a/toucanhoist-edge/src/fleet/exchange.rs
+++ b/toucanhoist-edge/src/fleet/exchange.rs
@@ -4,7 +4,7 @@
 //! heartbeats with the versions up to which they know the topics. A host requests what it has missed as a
 //! snapshot from a host with newer versions.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, io, net::SocketAddr, time::Duration};
 
 use {
     rand::seq::IteratorRandom,
@@ -13,7 +13,10 @@
         clock::Time,
         event::Event,
         membership::{Member, Message, State},
-        steering::{Changes, Entry, HEARTBEAT_INTERVAL, Key, Snapshot, Topic, Version, Way},
+        steering::{
+            Changes, Entry, HEARTBEAT_INTERVAL, Key, Snapshot, Topic, Version, Way,
+            builds::{self, DECODER},
+        },
     },
     toucanhoist_wire::steering::{self as wire, Reach, TopicVersion, packet},
 };
@@ -56,13 +59,18 @@
             return;
         }
         // Changes that cannot be packed are requested by other hosts after the next heartbeat.
-        let Ok(packed) = packing::pack(&changes.entries) else { return };
+        let (plain, further) = builds::split(changes.entries.clone());
+        let (Ok(packed), Ok(further)) = (packing::pack(&plain), pack_further(&further)) else {
+            return;
+        };
         let Changes { topic, after, upto, .. } = *changes;
         let packet = wire::Changes {
             topic: topic.number(),
             after: Some(after.into()),
             upto: Some(upto.into()),
             packed: packed.into(),
+            further: further.into(),
+            decoder: DECODER,
         };
         self.parts.peers.send_all(self.relay.peers(), packet::Body::Changes(packet));
     }
@@ -96,15 +104,14 @@
     /// Applies changes that a watcher broadcasts.
     pub(super) fn handle_changes(&mut self, now: Time, packet: &wire::Changes) {
         let Some(topic) = Topic::from_number(packet.topic) else { return };
-        let unpacked = packing::unpack::<Vec<(Key, Entry)>>(&packet.packed, CHANGES_BYTES_MAX);
-        let Ok(entries) = unpacked else {
+        let Ok(entries) = unpack_entries(packet) else {
             metrics::counter!("toucanhoist_datagrams_malformed_total").increment(1);
             return;
         };
         let (after, upto) = (packet.after.unwrap_or_default(), packet.upto.unwrap_or_default());
         let changes = Changes { topic, after: after.into(), upto: upto.into(), entries };
         let arrival = self.arrival(topic, Way::Broadcast);
-        let changed = self.mirror.apply_peer_changes(&changes);
+        let changed = self.mirror.apply_changes_of(packet.decoder, changes);
         self.publish(now, &changed, arrival);
     }
 
@@ -184,6 +191,20 @@
     }
 }
 
+/// Packs entries that earlier builds cannot decode; nothing if there are none.
+fn pack_further(entries: &[(Key, Entry)]) -> io::Result<Vec<u8>> {
+    if entries.is_empty() { Ok(Vec::new()) } else { packing::pack(&entries) }
+}
+
+fn unpack_entries(packet: &wire::Changes) -> io::Result<Vec<(Key, Entry)>> {
+    let mut entries: Vec<(Key, Entry)> = packing::unpack(&packet.packed, CHANGES_BYTES_MAX)?;
+    if !packet.further.is_empty() {
+        let further: Vec<(Key, Entry)> = packing::unpack(&packet.further, CHANGES_BYTES_MAX)?;
+        entries.extend(further);
+    }
+    Ok(entries)
+}
+
 /// Requests the entries that another host knows beyond the `known` versions.
 pub(super) fn request_snapshot(
     queue: mpsc::Sender<Input>,
--- a/toucanhoist-edge/src/peers.rs
+++ b/toucanhoist-edge/src/peers.rs
@@ -243,7 +243,7 @@
     /// Returns the packed entries beyond the `known` versions; `None` if there is no room for them.
     async fn pack(&self, known: BTreeMap<Topic, Version>) -> Option<Bytes> {
         let _turn = self.turn.lock().await;
-        let snapshot = self.fleet.newer_than(known).await?;
+        let snapshot = self.fleet.newer_than(known).await?.into_message();
         let content = packing::pack(&snapshot).ok()?;
         let share = self.budget.take(content.len().min(self.max))?;
         Some(held::with_share(content.into(), share))
@@ -290,5 +290,6 @@
         .map_err(io::Error::other)?;
     let answer = sender.send_request(request).await.map_err(io::Error::other)?;
     let content = Limited::new(answer.into_body(), SNAPSHOT_BYTES_MAX).collect().await;
-    packing::unpack(&content.map_err(io::Error::other)?.to_bytes(), SNAPSHOT_UNPACKED_BYTES_MAX)
+    let content = content.map_err(io::Error::other)?.to_bytes();
+    packing::unpack(&content, SNAPSHOT_UNPACKED_BYTES_MAX).map(Snapshot::from_message)
 }
--- a/toucanhoist-edge/tests/edge/malformed.rs
+++ b/toucanhoist-edge/tests/edge/malformed.rs
@@ -43,7 +43,13 @@
 
 fn packets() -> Vec<u8> {
     let packed = packing::pack(&entries()).expect("packed").into();
-    let changes = Changes { topic: 1, after: None, upto: Some(Version::from(9).into()), packed };
+    let changes = Changes {
+        topic: 1,
+        after: None,
+        upto: Some(Version::from(9).into()),
+        packed,
+        ..Changes::default()
+    };
     Packet { body: Some(packet::Body::Changes(changes)) }.encode_to_vec()
 }
 
@@ -86,7 +92,13 @@
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
     let unknown = TopicVersion { topic: 9, version: None, age_ms: u32::MAX };
     let reach = packet::Body::Reach(Reach { versions: vec![unknown] });
-    let invalid = Changes { topic: 1, after: None, upto: None, packed: vec![1, 2, 3].into() };
+    let invalid = Changes {
+        topic: 1,
+        after: None,
+        upto: None,
+        packed: vec![1, 2, 3].into(),
+        ..Changes::default()
+    };
     let mut datagrams = vec![Vec::new(), vec![0xff; 300], packets()[..9].to_vec()];
     for body in [reach, packet::Body::Changes(invalid)] {
         datagrams.push(Packet { body: Some(body) }.encode_to_vec());
