soak: write versions with a value that cannot be read, and use withdrawn keys

Each version of the soak's configuration withdraws the key of the one before. After all hosts have crashed and have the newest version in force, each of them must answer the key that it withdrew with 401.

The stand-in of the store keeps texts, since some of these are not JSON that a decoder can hold.

--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -147,14 +147,14 @@
 }
 
 /// Requests a path from a host on a new connection; returns the status, or `None` without an answer.
-pub async fn probe(host: &Host, path: &str) -> Option<u16> {
+pub async fn probe(host: &Host, path: &str, key: &str) -> Option<u16> {
     let mut sender = connect(host).await?;
     let request = Request::builder()
         .uri(path)
         .header("host", "soak.example")
         .header("x-request-id", "probe")
         .header("x-remaining-ms", "1000")
-        .header("authorization", format!("Bearer {}", ACCOUNTS[0].1))
+        .header("authorization", format!("Bearer {key}"))
         .body(Full::default())
         .expect("a request");
     let sending = time::timeout(TIMEOUT, sender.send_request(request));
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -19,9 +19,9 @@
 };
 
 use crate::{
-    Cluster, config,
+    Cluster,
     host::{Host, ZONES},
-    proxy, store,
+    operator, proxy, store,
     target::{self, Target},
 };
 
@@ -185,7 +185,7 @@
         Kind::Replace => replace(cluster, selector).await,
         Kind::Configure => {
             let version = version.fetch_add(1, Ordering::Relaxed) + 1;
-            cluster.store.put("op", "config", Some(config(version)));
+            cluster.store.put_text("op", "config", Some(operator::config(version)));
         }
         Kind::Evacuate => {
             let key = format!("evacuate/{}", ZONES[selector % ZONES.len()].0);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -3,7 +3,8 @@
 //!
 //! Faults come in series and overlap: hosts are killed, stopped, paused and restarted; the store is away, slow, loses answers
 //! or its history, or is restored from a backup; links are delayed, reset or silent one way; hosts lose their paths to targets;
-//! targets fail and are replaced. At the end all hosts crash at once, one is cut off from all targets, and all but one lose the
+//! targets fail and are replaced; versions of the configuration have
+//! values that cannot be read. At the end all hosts crash at once, one is cut off from all targets, and all but one lose the
 //! store alone while one target drains and another is removed without notice. Not played: calls that the store loses.
 //!
 //! Short runs with fixed seeds are part of the regular tests. To run more seeds:
@@ -27,7 +28,6 @@
 
 use {
     rstest::rstest,
-    serde_json::{Value, json},
     tokio::{sync::Mutex, task::JoinSet, time},
 };
 
@@ -36,7 +36,7 @@
     caller::{ACCOUNTS, Caller},
     faults::Faults,
     host::{Host, ZONES},
-    ledger::{BURST, Ledger, RATE},
+    ledger::Ledger,
     steady::SteadyState,
     store::Store,
     target::Target,
@@ -48,6 +48,7 @@
 mod faults;
 mod host;
 mod ledger;
+mod operator;
 mod proxy;
 mod steady;
 mod store;
@@ -90,28 +91,10 @@
     pub next_target: AtomicU64,
 }
 
-/// Returns a configuration with a repeatable route, an at-most-once route, and a route named after the version.
-pub fn config(version: u64) -> Value {
-    let path = |name: &str, kind: &str| {
-        json!({"name": name, "prefix": format!("/{name}/"), "kind": kind, "service": "curves",
-            "timeoutS": 1.2, "targetLatencyS": 0.3, "priority": 1, "maxAttempts": 2,
-            "sessionAffinity": true})
-    };
-    let account = |(name, key): &(&str, &str)| json!({"name": name, "apiKeys": [key], "ratePerS": RATE, "burst": BURST});
-    json!({
-        "version": format!("{version:08x}"),
-        "services": [{"name": "curves", "healthPath": "/health", "maxConns": 300, "coldS": 0,
-            "coldPerS": 1000}],
-        "tenants": ACCOUNTS.iter().map(account).collect::<Vec<_>>(),
-        "hosts": [{"host": "soak.example", "paths": [path("reads", "safe"),
-            path("writes", "unsafe"), path(&format!("idle{version}"), "safe")]}],
-    })
-}
-
 async fn start(folder: &Path, hosts: usize) -> Cluster {
     let (store, store_address) = Store::serve().await;
     let (ledger, steady) = (Arc::new(Ledger::default()), Arc::new(SteadyState::new()));
-    store.put("op", "config", Some(config(1)));
+    store.put_text("op", "config", Some(operator::config(1)));
     let mut targets = Vec::new();
     for number in 0..TARGETS {
         let zone = ZONES[number % ZONES.len()].0;
@@ -154,6 +137,8 @@
     if time::timeout(RECOVERY_MAX, wait_until_in_force(&cluster, version + 1)).await.is_err() {
         violations
             .push("a configuration that was written before all hosts crashed is lost".to_owned());
+    } else {
+        violations.extend(use_withdrawn_key(&cluster, version).await);
     }
     time::sleep(SETTLE_TIME).await;
     let before = cluster.ledger.answers();
@@ -240,7 +225,7 @@
 
 /// Writes a configuration, kills all hosts at once, and starts them again.
 async fn crash_all_hosts(cluster: &Cluster, version: u64) {
-    cluster.store.put("op", "config", Some(config(version)));
+    cluster.store.put_text("op", "config", Some(operator::config(version)));
     for host in cluster.hosts.iter() {
         host.kill().await;
     }
@@ -252,12 +237,24 @@
 /// Waits until every host serves the route that is named after a version of the configuration.
 async fn wait_until_in_force(cluster: &Cluster, version: u64) {
     for host in cluster.hosts.iter() {
-        while caller::probe(host, &format!("/idle{version}/x")).await != Some(200) {
+        while caller::probe(host, &format!("/idle{version}/x"), ACCOUNTS[0].1).await != Some(200) {
             time::sleep(Duration::from_millis(100)).await;
         }
     }
 }
 
+/// Sends the key that only an earlier version has to every host; returns the violations.
+async fn use_withdrawn_key(cluster: &Cluster, version: u64) -> Vec<String> {
+    let mut violations = Vec::new();
+    for (number, host) in cluster.hosts.iter().enumerate() {
+        let status = caller::probe(host, "/reads/x", &operator::guest_key(version)).await;
+        if status != Some(401) {
+            violations.push(format!("h{number} answers a withdrawn key with {status:?}"));
+        }
+    }
+    violations
+}
+
 async fn wait_until_served(cluster: &Cluster) {
     while !cluster.ledger.answers().contains_key(&200) {
         time::sleep(Duration::from_millis(50)).await;
