Give a host that has not registered no share of an account's rate

Cause: the holder of a data centre's part is chosen among the hosts that have registered, but each host added itself to those that it had heard of. An added host that cannot register learns the configuration and the other hosts from these, takes the part at once, and the former holder goes on with it. A host that knew no other one took the whole rate.

Change: only registered hosts hold parts. One that is not among them asks the holders for tokens, as any host does that holds none, so its callers are served or told when to come back. The burst of the fleet's first start is given once the host has registered; before, at its first configuration.

--- a/toucanhoist-edge/src/steer/accounts.rs
+++ b/toucanhoist-edge/src/steer/accounts.rs
@@ -1,4 +1,8 @@
 //! Tokens of client accounts: admission of requests, and the exchange of tokens with other hosts.
+//!
+//! The hosts that have registered hold the shares of each account's limit. One that the others do not
+//! know of yet holds none, since one of them holds the share that would be its own; it asks them for
+//! tokens.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -20,6 +24,13 @@
 
 use crate::{peers, settings};
 
+/// Returns the data centres of hosts.
+pub(super) fn data_centres(
+    hosts: &BTreeMap<id::EntryHost, EntryHost>,
+) -> BTreeMap<id::EntryHost, id::DataCentre> {
+    hosts.iter().map(|(name, host)| (name.clone(), host.data_centre.clone())).collect()
+}
+
 /// Receives the decision about a request; an error is the time after which a token is available.
 pub(super) type Reply = oneshot::Sender<Result<(), Duration>>;
 
@@ -28,11 +39,13 @@
     host: id::EntryHost,
     data_centre: id::DataCentre,
     regions: BTreeMap<id::DataCentre, id::Region>,
+    /// Whether the fleet starts for the first time, and this host has had no shares yet.
     first_start: bool,
     peers: peers::Sender,
     accounts: HashMap<id::Account, Account>,
+    /// Hosts that have registered.
     hosts: Arc<BTreeMap<id::EntryHost, EntryHost>>,
-    /// Data centres of all hosts, including this one.
+    /// Their data centres.
     data_centres: BTreeMap<id::EntryHost, id::DataCentre>,
     /// Reply channels of the requests that wait for a token, by ticket.
     waiting: HashMap<u64, Reply>,
@@ -50,7 +63,7 @@
             peers,
             accounts: HashMap::new(),
             hosts: Arc::default(),
-            data_centres: BTreeMap::from([(settings.name.clone(), settings.data_centre.clone())]),
+            data_centres: BTreeMap::new(),
             waiting: HashMap::new(),
             next_ticket: 0,
             next_question: rand::random(),
@@ -62,17 +75,10 @@
         !self.waiting.is_empty()
     }
 
-    /// Sets the registered hosts; returns the data centres of all hosts, including this one.
-    pub(super) fn set_hosts(
-        &mut self,
-        hosts: Arc<BTreeMap<id::EntryHost, EntryHost>>,
-    ) -> &BTreeMap<id::EntryHost, id::DataCentre> {
-        let data_centre_of =
-            |(name, host): (&id::EntryHost, &EntryHost)| (name.clone(), host.data_centre.clone());
-        self.data_centres = hosts.iter().map(data_centre_of).collect();
-        self.data_centres.insert(self.host.clone(), self.data_centre.clone());
+    /// Sets the registered hosts.
+    pub(super) fn set_hosts(&mut self, hosts: Arc<BTreeMap<id::EntryHost, EntryHost>>) {
+        self.data_centres = data_centres(&hosts);
         self.hosts = hosts;
-        &self.data_centres
     }
 
     /// Sets each host's share of the accounts.
@@ -94,7 +100,7 @@
             let verdicts = account.settle(later, false);
             self.deliver(verdicts);
         }
-        self.first_start = false;
+        self.first_start &= !self.hosts.contains_key(&self.host);
     }
 
     /// Returns an account with this host's share, created if `account` is `None`.
@@ -108,12 +114,11 @@
         let fraction = 1.0 / f64::from(u32::try_from(holders.len()).unwrap_or(u32::MAX));
         let share =
             Amount { rate: terms.rate * fraction, burst: (terms.burst * fraction).max(1.0) };
-        let is_new = account.is_none();
         let mut account = account.unwrap_or_else(|| Account::new(now));
         account.set_rate(terms.rate);
         if holders.contains(&&self.host) {
             account.bucket().resize(now, share.rate, share.burst);
-            if is_new && self.first_start {
+            if self.first_start {
                 account.bucket().put(now, share.burst);
             }
         } else {
@@ -137,7 +142,7 @@
     pub(super) fn admit(&mut self, now: Time, name: &id::Account, reply: Reply) {
         self.next_ticket += 1;
         let ticket = self.next_ticket;
-        let has_peers = self.hosts.len() > 1;
+        let has_peers = self.hosts.keys().any(|host| *host != self.host);
         let decision = match self.accounts.get_mut(name) {
             Some(account) => account.offer(now, true, has_peers, ticket),
             None => Decision::Admit,
--- a/toucanhoist-edge/tests/edge.rs
+++ b/toucanhoist-edge/tests/edge.rs
@@ -32,6 +32,8 @@
 mod odd_entries;
 #[path = "edge/odd_names.rs"]
 mod odd_names;
+#[path = "edge/quota.rs"]
+mod quota;
 #[path = "edge/restore.rs"]
 mod restore;
 #[path = "edge/status.rs"]
