Send nothing to cold targets from a host that has not registered

Cause: hosts divide the rate that a cold target tolerates by the hosts that each knows. One that the others do not know of counted itself and took a part, while they divided the whole rate among themselves.

Change: the topology says whether this host is among the registered ones; if not, its share of a cold target's rate is 0, also while it knows no host at all.

--- a/toucanhoist-core/src/steering/balancer.rs
+++ b/toucanhoist-core/src/steering/balancer.rs
@@ -175,7 +175,7 @@
         }
     }
 
-    /// Sets the hosts that may send to targets, with their data centres; this one is among them.
+    /// Sets the hosts that have registered, with their data centres.
     pub fn set_hosts(&mut self, now: Time, hosts: BTreeMap<id::EntryHost, id::DataCentre>) {
         self.topology.set_hosts(hosts);
         for service in self.services.values_mut() {
--- a/toucanhoist-core/src/steering/balancer/service.rs
+++ b/toucanhoist-core/src/steering/balancer/service.rs
@@ -129,8 +129,11 @@
         let Some(terms) = &self.terms else { return };
         let rate = terms.cold_rate * settings.cold_factor + settings.cold_extra;
         let target = &mut self.targets[index];
-        target.cold_share =
-            ColdLimit::share(rate, topology.rank(&target.name), topology.host_count());
+        // The others divide the whole rate among themselves until they know of this host.
+        target.cold_share = match topology.is_registered() {
+            true => ColdLimit::share(rate, topology.rank(&target.name), topology.host_count()),
+            false => 0,
+        };
     }
 
     /// Adds a request, which waits until [`Service::serve`] decides on it. Returns `false` if the
--- a/toucanhoist-core/src/steering/balancer/topology.rs
+++ b/toucanhoist-core/src/steering/balancer/topology.rs
@@ -39,6 +39,8 @@
     regions: Vec<id::Region>,
     region_numbers: BTreeMap<id::DataCentre, Region>,
     hosts: BTreeMap<id::EntryHost, id::DataCentre>,
+    /// Whether this host has registered, so that the others count it too.
+    is_registered: bool,
     /// Number of hosts by region; `None` until hosts are known.
     hosts_by_region: Option<Vec<u32>>,
     evacuated: BTreeSet<id::DataCentre>,
@@ -60,6 +62,7 @@
         Topology {
             region_numbers: numbers.collect(),
             hosts: BTreeMap::from([(host.clone(), data_centre.clone())]),
+            is_registered: false,
             hosts_by_region: None,
             host,
             data_centre,
@@ -68,8 +71,9 @@
         }
     }
 
-    /// Sets the hosts that may send to targets; this one is always among them.
+    /// Sets the hosts that have registered. This one sends to targets whether it has or not.
     pub(super) fn set_hosts(&mut self, hosts: BTreeMap<id::EntryHost, id::DataCentre>) {
+        self.is_registered = hosts.contains_key(&self.host);
         self.hosts = hosts;
         self.hosts.insert(self.host.clone(), self.data_centre.clone());
         let mut counts = vec![0; self.region_count()];
@@ -92,6 +96,11 @@
         self.evacuated.contains(data_centre)
     }
 
+    /// Whether this host has registered.
+    pub(super) fn is_registered(&self) -> bool {
+        self.is_registered
+    }
+
     /// Returns the number of hosts.
     pub(super) fn host_count(&self) -> usize {
         self.hosts.len()
--- a/toucanhoist-core/tests/steering/balancer.rs
+++ b/toucanhoist-core/tests/steering/balancer.rs
@@ -231,6 +231,32 @@
     assert!(sent.iter().any(|sent| *sent > 2_800), "restarted hosts use it again");
 }
 
+// Guards against a cold target that crashes because hosts add to its rate which the others do not know of.
+#[test]
+fn a_cold_target_gets_no_more_than_it_tolerates_beside_hosts_that_have_not_registered() {
+    let mut cold = target("n1", 100);
+    cold.cold_left = Duration::from_secs(3);
+    let start = |number: usize| {
+        let mut balancer = Balancer::new(settings(&format!("h{number}"), "n1"));
+        balancer.set_config(at(0), &config());
+        balancer.set_hosts(at(0), eight_hosts());
+        balancer.set_target(at(0), &target_id("t1"), Some(&cold));
+        balancer
+    };
+    let mut hosts: Vec<Balancer> = (1..=14).map(start).collect();
+    let mut sent = 0;
+    for millis in (0..1_000).step_by(10) {
+        for (number, host) in (0..).zip(&mut hosts) {
+            let decided = host.place(at(millis), request(millis * 14 + number, at(millis)));
+            let is_sent =
+                |(_, placement): &&(u64, Placement)| matches!(placement, Placement::Send(_));
+            sent += decided.iter().filter(is_sent).count();
+        }
+    }
+    // 9 requests a second x 1.5 + 5.
+    assert!((8..=18).contains(&sent), "{sent} requests in a second");
+}
+
 #[test]
 fn targets_of_a_data_centre_whose_evacuation_ends_count_as_cold() {
     let mut balancer = balancer(&[("t1", "n1", 100)]);
--- a/toucanhoist-edge/src/steer.rs
+++ b/toucanhoist-edge/src/steer.rs
@@ -271,7 +271,6 @@
     handle: Handle,
     targets: target::Pool,
     host: id::EntryHost,
-    data_centre: id::DataCentre,
     regions: BTreeMap<id::DataCentre, id::Region>,
     balancer: Balancer,
     /// Whether the host was cut off from targets at the last tick.
@@ -324,7 +323,6 @@
             handle,
             targets,
             host: settings.name.clone(),
-            data_centre: settings.data_centre.clone(),
             regions: settings.regions.clone(),
             balancer,
             is_cut_off: false,
@@ -426,10 +424,7 @@
             Input::Hosts(hosts) => {
                 self.hosts = Arc::new(hosts);
                 self.accounts.set_hosts(Arc::clone(&self.hosts));
-                // This host sends requests whether it has registered or not.
-                let mut data_centres = accounts::data_centres(&self.hosts);
-                data_centres.insert(self.host.clone(), self.data_centre.clone());
-                self.balancer.set_hosts(now, data_centres);
+                self.balancer.set_hosts(now, accounts::data_centres(&self.hosts));
                 self.set_region_peers();
                 self.set_shares(now);
             }
