--- a/toucanhoist-core/src/id.rs
+++ b/toucanhoist-core/src/id.rs
@@ -58,8 +58,9 @@
                 let is_blank = |byte: &u8| matches!(byte, b' ' | b'\t');
                 let bytes = self.0.as_bytes();
                 let has_controls = bytes.iter().any(|byte| byte.is_ascii_control() && *byte != b'\t');
-                !has_controls && !bytes.first().is_some_and(is_blank)
-                    && !bytes.last().is_some_and(is_blank)
+                let has_blank_end =
+                    bytes.first().is_some_and(is_blank) || bytes.last().is_some_and(is_blank);
+                !has_controls && !has_blank_end
             }
 
             /// Returns the name's text.
