steering: play a target's limit beside hosts that have not registered

The same question as for rates and cold targets: such a host takes a part of the limit among n + 1, while the others divide all of it among n.

--- a/toucanhoist-core/tests/steering/target_limit.rs
+++ b/toucanhoist-core/tests/steering/target_limit.rs
@@ -340,6 +340,23 @@
     fleet.assert_kept(2.3, NAMED_MS + GRACE_MS..END_MS + 6_000);
 }
 
+// Hosts that have not registered take parts of which the others do not know.
+#[rstest]
+fn a_limit_is_kept_beside_hosts_that_have_not_registered(
+    #[values(2, 8)] hosts: usize,
+    #[values(2.3, 6.0)] limit: f64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut fleet = Fleet::new(hosts, seed);
+    for added in hosts..2 * hosts {
+        fleet.add_host(added);
+        fleet.used.push(added);
+    }
+    fleet.name_limit(limit);
+    fleet.run_until(END_MS);
+    fleet.assert_kept(limit, NAMED_MS + GRACE_MS..END_MS);
+}
+
 #[rstest]
 fn a_limit_is_kept_while_hosts_come_and_go(#[values(2, 8, 90)] hosts: usize) {
     let mut fleet = Fleet::new(hosts, 1);
