--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -3,9 +3,9 @@
 //!
 //! Faults come in series and overlap: hosts are killed, stopped, paused and restarted; the store is away, slow, loses answers
 //! or its history, or is restored from a backup; links are delayed, reset or silent one way; hosts lose their paths to targets;
-//! targets fail and are replaced; versions of the configuration have
-//! values that cannot be read. At the end all hosts crash at once, one is cut off from all targets, and all but one lose the
-//! store alone while one target drains and another is removed without notice. Not played: calls that the store loses.
+//! targets fail and are replaced; versions of the configuration have values that cannot be read. At the end all hosts crash at
+//! once, one is cut off from all targets, and all but one lose the store alone while one target drains and another is removed
+//! without notice. Not played: calls that the store loses.
 //!
 //! Short runs with fixed seeds are part of the regular tests. To run more seeds:
 //! `SOAK_FROM=100 SOAK_SEEDS=50 cargo test --test soak -- --ignored --nocapture`. `SOAK_HOSTS=40` runs so many
